--- /dev/null
+++ b/cmd/banyanplank/main.go
@@ -0,0 +1,4 @@
+// Command banyanplank is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/configuration.go
@@ -0,0 +1,136 @@
+package banyanplank
+
+import "time"
+
+// Configuration is what operators decide. A value is immutable once accepted.
+type Configuration struct {
+	Revision Revision      `toml:"-"`
+	Zones    []ZoneSpec    `toml:"zones"`
+	Services []ServiceSpec `toml:"services"`
+	Groups   []GroupSpec   `toml:"groups"`
+	Accounts []AccountSpec `toml:"accounts"`
+}
+
+// ZoneSpec declares an availability zone.
+type ZoneSpec struct {
+	Name   Zone   `toml:"name"`
+	Region Region `toml:"region"`
+	// Out takes the zone out of service: it gets no new work.
+	Out bool `toml:"out,omitempty"`
+}
+
+// ServiceKind tells which calls a service takes.
+type ServiceKind string
+
+// The kinds of services.
+const (
+	// ServiceModel takes chat and completion calls and streams tokens.
+	ServiceModel ServiceKind = "model"
+	// ServicePlain takes any HTTP call.
+	ServicePlain ServiceKind = "plain"
+)
+
+// ServiceSpec declares a service that callers address by name.
+type ServiceSpec struct {
+	Name ServiceName `toml:"name"`
+	Kind ServiceKind `toml:"kind"`
+	// Fencing tells that the service's endpoints refuse orders with an old
+	// fencing number.
+	Fencing bool `toml:"fencing,omitempty"`
+	// Once lists the path prefixes whose calls must not be repeated.
+	Once      []string  `toml:"once,omitempty"`
+	Objective Objective `toml:"objective"`
+}
+
+// Objective states the service levels that the burn report measures.
+type Objective struct {
+	// Availability is the share of calls that must succeed, between 0 and 1.
+	Availability float64 `toml:"availability,omitempty"`
+	// Share is the share of answers that must meet First and Between.
+	Share float64 `toml:"share,omitempty"`
+	// First bounds the time from a call to its first token.
+	First Duration `toml:"first,omitempty"`
+	// Between bounds the time from one token to the next.
+	Between Duration `toml:"between,omitempty"`
+}
+
+// GroupSpec declares a group of ranks that run one model in lock-step.
+type GroupSpec struct {
+	Name    GroupName   `toml:"name"`
+	Service ServiceName `toml:"service"`
+	Zones   []Zone      `toml:"zones"`
+	Ranks   int         `toml:"ranks"`
+	Layers  int         `toml:"layers"`
+	Experts int         `toml:"experts"`
+	// Slots is the number of expert replicas that one rank holds in a layer.
+	Slots int `toml:"slots"`
+	// Bytes bounds the weights moved in a minute.
+	Bytes int64 `toml:"bytes,omitempty"`
+	// Gain is the least relative step-time gain that justifies a move.
+	Gain float64 `toml:"gain,omitempty"`
+	// Paused stops rebalancing.
+	Paused bool `toml:"paused,omitempty"`
+	// Quiet lists the daily spans in which no weights move.
+	Quiet []QuietSpan `toml:"quiet,omitempty"`
+}
+
+// QuietSpan is a daily span in UTC, given as times since midnight. A span
+// whose Until is before its From runs past midnight.
+type QuietSpan struct {
+	From  Duration `toml:"from"`
+	Until Duration `toml:"until"`
+}
+
+// AccountSpec declares a client account.
+type AccountSpec struct {
+	Name AccountID `toml:"name"`
+	// Key is the hexadecimal SHA-256 digest of the account's secret key.
+	Key string `toml:"key"`
+	// Weight is the account's share of a contended endpoint. Zero means 1.
+	Weight int `toml:"weight,omitempty"`
+	// Priority orders the requests of equal accounts. Larger goes first.
+	Priority int `toml:"priority,omitempty"`
+	// Rate bounds the requests a second. Zero means no bound.
+	Rate float64 `toml:"rate,omitempty"`
+	// Concurrent bounds the requests in flight. Zero means no bound.
+	Concurrent int `toml:"concurrent,omitempty"`
+}
+
+// Duration is a [time.Duration] written in TOML as text such as "1.6s".
+type Duration time.Duration
+
+// MarshalText writes the duration as [time.Duration.String] does.
+func (d Duration) MarshalText() (text []byte, err error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText reads a duration that [time.ParseDuration] accepts.
+func (d *Duration) UnmarshalText(text []byte) (err error) {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// ServiceNamed returns the declaration of the service called name.
+func (c *Configuration) ServiceNamed(name ServiceName) (spec ServiceSpec, ok bool) {
+	for _, s := range c.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return ServiceSpec{}, false
+}
+
+// IsZoneOut reports whether zone is out of service. A zone that is not
+// declared is out.
+func (c *Configuration) IsZoneOut(zone Zone) bool {
+	for _, z := range c.Zones {
+		if z.Name == zone {
+			return z.Out
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/store.go
@@ -0,0 +1,73 @@
+package banyanplank
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Version is the platform's version of one object. Zero means that the object
+// does not exist. Versions of all objects come from one growing counter.
+type Version uint64
+
+// Object is one value in the platform's object API.
+type Object struct {
+	Name    string
+	Version Version
+	// Value is at most 1 MiB.
+	Value []byte
+}
+
+// The errors of an [ObjectStore].
+var (
+	// ErrNotFound means that no object has the name.
+	ErrNotFound = errors.New("object not found")
+	// ErrConflict means that the object has another version than expected.
+	// Nothing was written.
+	ErrConflict = errors.New("object version conflict")
+	// ErrUnavailable means that the store refused or was not reached. Nothing
+	// was written.
+	ErrUnavailable = errors.New("object store unavailable")
+	// ErrUncertain means that no reply came: the write may have taken effect.
+	ErrUncertain = errors.New("object store reply lost")
+)
+
+// ObjectStore is the platform's object API. Every method counts as one call
+// against the platform's limits, a waiting Watch included.
+type ObjectStore interface {
+	// Get returns the object called name, or [ErrNotFound].
+	Get(ctx context.Context, name string) (object Object, err error)
+	// Put writes value if the object still has the version expect, and
+	// returns the new version. Expect zero creates the object.
+	Put(ctx context.Context, name string, value []byte, expect Version) (version Version, err error)
+	// Delete removes the object if it still has the version expect.
+	Delete(ctx context.Context, name string, expect Version) (err error)
+	// List returns the objects whose names begin with prefix, in name order.
+	List(ctx context.Context, prefix string) (objects []Object, err error)
+	// Watch waits until an object whose name begins with prefix has a version
+	// above after, and returns the changed objects that still exist. It
+	// returns no object and no error when the store ends the wait early.
+	Watch(ctx context.Context, prefix string, after Version) (objects []Object, err error)
+}
+
+// InstanceState tells what the platform says of an instance.
+type InstanceState string
+
+// The states of an instance.
+const (
+	InstanceLive    InstanceState = "live"
+	InstanceLeaving InstanceState = "leaving"
+)
+
+// Instance is one machine in the platform's list.
+type Instance struct {
+	ID    InstanceID    `json:"id"`
+	Zone  Zone          `json:"zone"`
+	State InstanceState `json:"state"`
+}
+
+// InstanceList is the platform's list of instances, which lags behind.
+type InstanceList interface {
+	// Instances returns the live and leaving instances.
+	Instances(ctx context.Context) (instances []Instance, err error)
+}
