--- a/store.go
+++ b/store.go
@@ -30,8 +30,14 @@
 	ErrUnavailable = errors.New("object store unavailable")
 	// ErrUncertain means that no reply came: the write may have taken effect.
 	ErrUncertain = errors.New("object store reply lost")
+	// ErrTooLarge means that a value is longer than [MaxValue]. Nothing was
+	// written.
+	ErrTooLarge = errors.New("object value too large")
 )
 
+// MaxValue is the longest value of an object in bytes.
+const MaxValue = 1 << 20
+
 // ObjectStore is the platform's object API. Every method counts as one call
 // against the platform's limits, a waiting Watch included.
 type ObjectStore interface {
