Carry a request from a caller through entry and agent to an engine

Cause: the decisions need a path to hang on before they can be tried.

Change: a thin version of the whole path. Receiver serves callers over HTTP, forwarder picks an agent and opens an attempt, dialer and listener carry it over drpc, runner admits and runs it, invoker calls the endpoint. The daemon package assembles both roles from checked settings. The picker (in turn), the admitter (a plain sum) and the spreading of members and configuration (polling the object API) are placeholders behind the interfaces.

--- /dev/null
+++ b/daemon/entry.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/hex"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/forwarder"
+	"github.com/banyanplank/banyanplank/transport/dialer"
+	"github.com/banyanplank/banyanplank/transport/receiver"
+)
+
+// entry is the role before the callers.
+type entry struct {
+	daemon  *Daemon
+	picker  banyanplank.Picker
+	server  *http.Server
+	running atomic.Int64
+	known   atomic.Bool
+}
+
+func newEntry(d *Daemon, config *tls.Config) *entry {
+	e := &entry{daemon: d, picker: newPicker(d.settings)}
+	d.dialer = dialer.New(dialer.WithTLS(config), dialer.WithReport(func(report banyanplank.LoadReport) {
+		e.picker.Observe(time.Now(), report)
+	}))
+	forward := forwarder.New(e.picker, d.dialer, forwarder.WithZone(d.settings.Zone))
+	handler := receiver.New(d.keeper, forward, d, identify,
+		receiver.WithBody(d.settings.Limits.Body),
+		receiver.WithTimeout(time.Duration(d.settings.Limits.Timeout)),
+		receiver.WithReady(e.ready),
+	)
+	e.server = receiver.NewServer(e.count(handler))
+	return e
+}
+
+// identify returns a request id of 128 random bits.
+func identify() (id banyanplank.RequestID) {
+	var bits [16]byte
+	_, _ = rand.Read(bits[:])
+	return banyanplank.RequestID(hex.EncodeToString(bits[:]))
+}
+
+// count counts the calls that run.
+func (e *entry) count(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		e.running.Add(1)
+		defer e.running.Add(-1)
+		handler.ServeHTTP(w, request)
+	})
+}
+
+func (e *entry) serve(ctx context.Context) (err error) {
+	return serveHTTP(ctx, e.server, e.daemon.settings.Listen.Caller)
+}
+
+func (e *entry) renew(now time.Time, members []banyanplank.Member) {
+	e.picker.Renew(now, members, e.daemon.keeper.View().Configuration)
+	e.known.Store(true)
+}
+
+// drain serves as long as callers may keep an answer that names this entry,
+// then waits for what runs.
+func (e *entry) drain(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(keepEntries):
+	}
+	_ = e.server.Shutdown(ctx)
+}
+
+func (e *entry) inFlight() (requests int) { return int(e.running.Load()) }
+
+func (e *entry) ready() (ready bool) { return e.known.Load() }
--- /dev/null
+++ b/daemon/log.go
@@ -0,0 +1,39 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/phuslu/log"
+)
+
+// NewLogger returns a logger that writes one line of key=value pairs for each
+// event to out.
+func NewLogger(out io.Writer) *log.Logger {
+	return &log.Logger{
+		Level:      log.InfoLevel,
+		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+		Writer:     &log.ConsoleWriter{Writer: out, Formatter: formatLine},
+	}
+}
+
+// formatLine writes the time, the level, the event and the fields.
+func formatLine(out io.Writer, args *log.FormatterArgs) (n int, err error) {
+	var line strings.Builder
+	fmt.Fprintf(&line, "time=%s level=%s event=%s", args.Time, args.Level, quote(args.Message))
+	for _, pair := range args.KeyValues {
+		fmt.Fprintf(&line, " %s=%s", pair.Key, quote(pair.Value))
+	}
+	line.WriteByte('\n')
+	return io.WriteString(out, line.String())
+}
+
+// quote quotes values that would not read back as one word.
+func quote(value string) string {
+	if value == "" || strings.ContainsAny(value, " =\"\n\t") {
+		return strconv.Quote(value)
+	}
+	return value
+}
--- /dev/null
+++ b/protocol/carrier/convert.go
@@ -0,0 +1,164 @@
+// Package carrier holds the messages that carry requests from an entry to an
+// agent and answers back, and turns them into the domain's types.
+package carrier
+
+import (
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// NewOpen returns the message that asks an agent to run request. Its timeout
+// is what is left until the deadline at now.
+func NewOpen(now time.Time, request *banyanplank.Request, incarnation banyanplank.Incarnation) (open *Open) {
+	return &Open{
+		Id:          string(request.ID),
+		Attempt:     string(request.Attempt),
+		Account:     string(request.Account),
+		Service:     string(request.Service),
+		Method:      request.Method,
+		Path:        request.Path,
+		Header:      encodeHeader(request.Header),
+		Body:        request.Body,
+		Key:         request.Key,
+		Once:        request.Once,
+		Stream:      request.Stream,
+		Timeout:     int64(request.Deadline.Sub(now)),
+		Priority:    int32(request.Priority),
+		Demand:      encodeDemand(request.Demand),
+		Offset:      request.Offset,
+		Revision:    uint64(request.Revision),
+		Incarnation: uint64(incarnation),
+	}
+}
+
+// Request returns the request that the message carries. Its deadline counts
+// from now.
+func (x *Open) Request(now time.Time) (request *banyanplank.Request) {
+	return &banyanplank.Request{
+		ID:       banyanplank.RequestID(x.GetId()),
+		Attempt:  banyanplank.AttemptID(x.GetAttempt()),
+		Account:  banyanplank.AccountID(x.GetAccount()),
+		Service:  banyanplank.ServiceName(x.GetService()),
+		Method:   x.GetMethod(),
+		Path:     x.GetPath(),
+		Header:   decodeHeader(x.GetHeader()),
+		Body:     x.GetBody(),
+		Key:      x.GetKey(),
+		Once:     x.GetOnce(),
+		Stream:   x.GetStream(),
+		Deadline: now.Add(time.Duration(x.GetTimeout())),
+		Priority: int(x.GetPriority()),
+		Demand:   decodeDemand(x.GetDemand()),
+		Offset:   x.GetOffset(),
+		Revision: banyanplank.Revision(x.GetRevision()),
+	}
+}
+
+// encodeHeader lists the fields in name order, so that equal headers encode
+// to equal bytes.
+func encodeHeader(header http.Header) (fields []*Field) {
+	names := make([]string, 0, len(header))
+	for name := range header {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		fields = append(fields, &Field{Name: name, Values: header[name]})
+	}
+	return fields
+}
+
+func decodeHeader(fields []*Field) (header http.Header) {
+	header = make(http.Header, len(fields))
+	for _, field := range fields {
+		header[http.CanonicalHeaderKey(field.GetName())] = field.GetValues()
+	}
+	return header
+}
+
+func encodeDemand(demand banyanplank.Demand) (message *Demand) {
+	return &Demand{
+		Prompt:  int32(demand.Prompt),
+		Longest: int32(demand.Longest),
+		Prefix:  demand.Prefix,
+		Model:   demand.Model,
+		Adapter: demand.Adapter,
+	}
+}
+
+// decodeDemand takes negative sizes as zero.
+func decodeDemand(message *Demand) (demand banyanplank.Demand) {
+	return banyanplank.Demand{
+		Prompt:  max(0, int(message.GetPrompt())),
+		Longest: max(0, int(message.GetLongest())),
+		Prefix:  message.GetPrefix(),
+		Model:   message.GetModel(),
+		Adapter: message.GetAdapter(),
+	}
+}
+
+// NewRefused returns the message for a refusal.
+func NewRefused(refusal *banyanplank.Refusal) (message *Refused) {
+	return &Refused{
+		Outcome: string(refusal.Outcome),
+		Reason:  string(refusal.Reason),
+		Retry:   int64(refusal.RetryAfter),
+		Detail:  refusal.Detail,
+	}
+}
+
+// Refusal returns the refusal that the message carries. An outcome that this
+// build does not know becomes [banyanplank.OutcomeUnknown].
+func (x *Refused) Refusal() (refusal *banyanplank.Refusal) {
+	outcome := banyanplank.Outcome(x.GetOutcome())
+	if outcome != banyanplank.NotRun && outcome != banyanplank.Ran {
+		outcome = banyanplank.OutcomeUnknown
+	}
+	return &banyanplank.Refusal{
+		Outcome:    outcome,
+		Reason:     banyanplank.Reason(x.GetReason()),
+		RetryAfter: time.Duration(x.GetRetry()),
+		Detail:     x.GetDetail(),
+	}
+}
+
+// NewLoad returns the message for a load report.
+func NewLoad(report banyanplank.LoadReport) (message *Load) {
+	return &Load{
+		Daemon:      string(report.Daemon),
+		Incarnation: uint64(report.Incarnation),
+		Sequence:    report.Sequence,
+		Limit:       int64(report.Limit),
+		Held:        int64(report.Held),
+		Queued:      int64(report.Queued),
+		Waiting:     int32(report.Waiting),
+		Prefill:     report.Prefill,
+		Step:        int64(report.Step),
+		Cold:        report.Cold,
+		Closed:      report.Closed,
+		Models:      report.Models,
+		Adapters:    report.Adapters,
+	}
+}
+
+// Report returns the load report that the message carries.
+func (x *Load) Report() (report banyanplank.LoadReport) {
+	return banyanplank.LoadReport{
+		Daemon:      banyanplank.DaemonID(x.GetDaemon()),
+		Incarnation: banyanplank.Incarnation(x.GetIncarnation()),
+		Sequence:    x.GetSequence(),
+		Limit:       int(x.GetLimit()),
+		Held:        int(x.GetHeld()),
+		Queued:      int(x.GetQueued()),
+		Waiting:     int(x.GetWaiting()),
+		Prefill:     x.GetPrefill(),
+		Step:        time.Duration(x.GetStep()),
+		Cold:        x.GetCold(),
+		Closed:      x.GetClosed(),
+		Models:      x.GetModels(),
+		Adapters:    x.GetAdapters(),
+	}
+}
