--- /dev/null
+++ b/state/loader/loader_test.go
@@ -0,0 +1,107 @@
+package loader_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/banyanplank/banyanplank/state/loader"
+)
+
+const entry = `
+role = "entry"
+name = "entry-1"
+instance = "i-1"
+zone = "a"
+
+[listen]
+caller = "127.0.0.1:8080"
+peer = "127.0.0.1:8081"
+admin = "127.0.0.1:8082"
+
+[keys]
+insecure = true
+
+[platform]
+address = "http://127.0.0.1:9000"
+`
+
+func TestGoodSettingsGetDefaults(t *testing.T) {
+	is := is.New(t)
+	settings, err := loader.Parse("entry.toml", []byte(entry))
+	is.NoErr(err)
+	is.Equal(settings.Limits.Body, int64(8<<20))
+	is.Equal(settings.Listen.Caller.Port(), uint16(8080))
+}
+
+func TestBadSettingsNameEveryMistake(t *testing.T) {
+	cases := map[string]struct {
+		text string
+		keys []string
+	}{
+		"empty": {
+			text: "",
+			keys: []string{"name", "instance", "zone", "listen.peer", "listen.admin", "platform.address", "keys.certificate", "keys.key", "keys.authority", "role"},
+		},
+		"unknown settings": {
+			text: entry + "\n[limits]\nbdy = 3\n\n[extra]\nx = 1\n",
+			keys: []string{"limits.bdy", "extra"},
+		},
+		"wrong type": {
+			text: strings.Replace(entry, `zone = "a"`, `zone = 3`, 1),
+			keys: []string{"zone"},
+		},
+		"limits": {
+			text: entry + "\n[limits]\nbody = -1\ntimeout = \"0s\"\n",
+			keys: []string{"limits.body", "limits.timeout"},
+		},
+		"an entry with an endpoint": {
+			text: entry + "\n[endpoint]\nservice = \"guide\"\n",
+			keys: []string{"endpoint"},
+		},
+		"an agent with callers and no endpoint": {
+			text: strings.Replace(entry, `"entry"`, `"agent"`, 1),
+			keys: []string{"endpoint.address", "endpoint.service", "endpoint.capacity", "listen.caller"},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			settings, err := loader.Parse("bad.toml", []byte(c.text))
+			is.Equal(settings, loader.Settings{})
+			var wrong *loader.Error
+			is.True(errors.As(err, &wrong))
+			keys := make([]string, 0, len(wrong.Mistakes))
+			for _, m := range wrong.Mistakes {
+				keys = append(keys, m.Key)
+				is.Equal(m.File, "bad.toml")
+				is.True(m.Reason != "")
+			}
+			is.Equal(keys, c.keys)
+		})
+	}
+}
+
+// FuzzParse checks that no text makes the reader panic or keep part of a
+// refused file.
+func FuzzParse(f *testing.F) {
+	f.Add(entry)
+	f.Add(strings.Replace(entry, `"entry"`, `"agent"`, 1))
+	f.Add("role = 3")
+	f.Add("[limits]\ntimeout = \"-1s\"")
+	f.Fuzz(func(t *testing.T, text string) {
+		settings, err := loader.Parse("fuzz.toml", []byte(text))
+		if err == nil {
+			return
+		}
+		var wrong *loader.Error
+		if !errors.As(err, &wrong) || len(wrong.Mistakes) == 0 {
+			t.Fatalf("error without mistakes: %v", err)
+		}
+		if settings != (loader.Settings{}) {
+			t.Fatalf("part of a refused file was kept: %+v", settings)
+		}
+	})
+}
--- /dev/null
+++ b/transport/receiver/slow_test.go
@@ -0,0 +1,88 @@
+package receiver_test
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/banyanplank/banyanplank/transport/receiver"
+)
+
+// pipes is a listener that accepts in-memory connections.
+type pipes struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+}
+
+func newPipes() *pipes {
+	return &pipes{accepted: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (p *pipes) Accept() (conn net.Conn, err error) {
+	select {
+	case conn = <-p.accepted:
+		return conn, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() (err error) {
+	close(p.closed)
+	return nil
+}
+
+func (p *pipes) Addr() (address net.Addr) { return &net.TCPAddr{} }
+
+// dial returns the caller's end of a new connection.
+func (p *pipes) dial() (conn net.Conn) {
+	caller, server := net.Pipe()
+	p.accepted <- server
+	return caller
+}
+
+func TestSlowSendersAreCutOff(t *testing.T) {
+	cases := map[string]struct {
+		sent  string
+		limit time.Duration
+	}{
+		"slow header": {
+			sent:  "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n",
+			limit: receiver.HeaderTimeout,
+		},
+		"slow body": {
+			sent: "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + secret +
+				"\r\nContent-Length: 100\r\n\r\n{",
+			limit: receiver.BodyTimeout,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				forward := &recorded{}
+				open := newPipes()
+				server := receiver.NewServer(newReceiver(forward))
+				var group conc.WaitGroup
+				group.Go(func() { _ = server.Serve(open) })
+				conn := open.dial()
+				_, err := io.WriteString(conn, c.sent)
+				is.NoErr(err)
+				began := time.Now()
+				answer, err := io.ReadAll(conn)
+				is.NoErr(err)
+				is.True(time.Since(began) <= c.limit+time.Second)
+				is.True(!strings.Contains(string(answer), "200 OK"))
+				is.Equal(len(forward.requests), 0)
+				is.NoErr(server.Close())
+				group.Wait()
+			})
+		})
+	}
+}
