Add the HTTP client of the object API and the instance list

Cause: daemons and the command line reach the platform over the network, and must know after a failed write whether it may have taken effect. Change: transport/storer maps failures to the root package's errors. A write is uncertain as soon as a connection was there to carry it.

--- /dev/null
+++ b/transport/storer/message.go
@@ -0,0 +1,58 @@
+package storer
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// Listing is the JSON body of a list or watch reply.
+type Listing struct {
+	Objects []ListedObject `json:"objects"`
+}
+
+// ListedObject is one object in a [Listing]. Its value is in base64.
+type ListedObject struct {
+	Name    string              `json:"name"`
+	Version banyanplank.Version `json:"version"`
+	Value   []byte              `json:"value"`
+}
+
+// Roster is the JSON body of an instances reply.
+type Roster struct {
+	Instances []banyanplank.Instance `json:"instances"`
+}
+
+// NewListing returns the reply that holds objects.
+func NewListing(objects []banyanplank.Object) (listing Listing) {
+	listing.Objects = make([]ListedObject, 0, len(objects))
+	for _, o := range objects {
+		listing.Objects = append(listing.Objects, ListedObject(o))
+	}
+	return listing
+}
+
+// objects returns the objects of a reply.
+func (l Listing) objects() (objects []banyanplank.Object) {
+	for _, o := range l.Objects {
+		objects = append(objects, banyanplank.Object(o))
+	}
+	return objects
+}
+
+// Tag returns the entity tag of a version, such as "17" in quotes.
+func Tag(version banyanplank.Version) (tag string) {
+	return strconv.Quote(strconv.FormatUint(uint64(version), 10))
+}
+
+// ParseTag reads what [Tag] returns.
+func ParseTag(tag string) (version banyanplank.Version, err error) {
+	number, err := strconv.ParseUint(strings.Trim(tag, `"`), 10, 64)
+	if err != nil || number == 0 {
+		return 0, errors.Newf("entity tag %q is not a version", tag)
+	}
+	return banyanplank.Version(number), nil
+}
--- /dev/null
+++ b/transport/storer/storer.go
@@ -0,0 +1,305 @@
+// Package storer is the HTTP client of the platform's object API and instance
+// list.
+//
+//	s, err := storer.New("http://10.0.0.9:8080", storer.WithKey(key))
+//	object, err := s.Get(ctx, "configuration/root")
+//
+// An error of a write tells whether the write may have taken effect:
+// [banyanplank.ErrUncertain] says that it may, while the other errors say that
+// it surely did not.
+package storer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+var (
+	_ banyanplank.ObjectStore  = (*Storer)(nil)
+	_ banyanplank.InstanceList = (*Storer)(nil)
+)
+
+const (
+	defaultTimeout = 5 * time.Second
+	defaultWait    = time.Minute
+	// maxReply bounds the body of a listing in bytes.
+	maxReply = 64 << 20
+	// maxMessage bounds what is kept of the text of an error reply in bytes.
+	maxMessage = 256
+)
+
+// Storer is a client of one platform. Its methods may be called from many
+// goroutines.
+type Storer struct {
+	base    *url.URL
+	key     string
+	client  *http.Client
+	timeout time.Duration
+	wait    time.Duration
+}
+
+// Option configures a [Storer].
+type Option func(*Storer)
+
+// WithKey sends key as bearer key. Use it when the platform authenticates its
+// clients. The default sends none.
+func WithKey(key string) Option {
+	return func(s *Storer) { s.key = key }
+}
+
+// WithTimeout bounds each call but watches. Use a longer one when the platform
+// is slow rather than down. The default is 5 s.
+func WithTimeout(timeout time.Duration) Option {
+	return func(s *Storer) { s.timeout = timeout }
+}
+
+// WithWait bounds each watch. Use one longer than the platform's own bound, so
+// that only a silent connection reaches it. The default is 60 s.
+func WithWait(wait time.Duration) Option {
+	return func(s *Storer) { s.wait = wait }
+}
+
+// WithTransport sends the calls through transport. Use it for TLS settings or
+// in tests. The default is a transport of this client's own.
+func WithTransport(transport http.RoundTripper) Option {
+	return func(s *Storer) { s.client.Transport = transport }
+}
+
+// New returns a client of the platform at address, a URL of scheme http or
+// https.
+func New(address string, options ...Option) (s *Storer, err error) {
+	base, err := url.Parse(address)
+	if err != nil {
+		return nil, errors.Wrap(err, "platform address")
+	}
+	if base.Host == "" || (base.Scheme != "http" && base.Scheme != "https") {
+		return nil, errors.Newf("platform address %q is not a URL of scheme http or https", address)
+	}
+	s = &Storer{
+		base:    base,
+		client:  &http.Client{Transport: newTransport(), CheckRedirect: refuseRedirect},
+		timeout: defaultTimeout,
+		wait:    defaultWait,
+	}
+	for _, option := range options {
+		option(s)
+	}
+	return s, nil
+}
+
+// newTransport returns a transport that uses no proxy.
+func newTransport() (transport *http.Transport) {
+	transport = http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	return transport
+}
+
+// refuseRedirect hands the redirecting reply to the caller.
+func refuseRedirect(*http.Request, []*http.Request) (err error) {
+	return http.ErrUseLastResponse
+}
+
+// Get implements [banyanplank.ObjectStore].
+func (s *Storer) Get(ctx context.Context, name string) (object banyanplank.Object, err error) {
+	defer func() { err = errors.Wrapf(err, "get object %q", name) }()
+	r, err := s.call(ctx, s.timeout, call{method: http.MethodGet, path: objectPath(name)})
+	if err != nil {
+		return banyanplank.Object{}, err
+	}
+	version, err := ParseTag(r.header.Get("ETag"))
+	if err != nil {
+		return banyanplank.Object{}, errors.Mark(err, banyanplank.ErrUnavailable)
+	}
+	return banyanplank.Object{Name: name, Version: version, Value: r.body}, nil
+}
+
+// Put implements [banyanplank.ObjectStore].
+func (s *Storer) Put(ctx context.Context, name string, value []byte, expect banyanplank.Version) (version banyanplank.Version, err error) {
+	defer func() { err = errors.Wrapf(err, "put object %q", name) }()
+	if len(value) > banyanplank.MaxValue {
+		return 0, errors.Wrapf(banyanplank.ErrTooLarge, "%d bytes", len(value))
+	}
+	r, err := s.call(ctx, s.timeout, call{method: http.MethodPut, path: objectPath(name), body: value, expect: expect})
+	if err != nil {
+		return 0, err
+	}
+	version, err = ParseTag(r.header.Get("ETag"))
+	return version, markIf(err, banyanplank.ErrUncertain)
+}
+
+// Delete implements [banyanplank.ObjectStore].
+func (s *Storer) Delete(ctx context.Context, name string, expect banyanplank.Version) (err error) {
+	defer func() { err = errors.Wrapf(err, "delete object %q", name) }()
+	_, err = s.call(ctx, s.timeout, call{method: http.MethodDelete, path: objectPath(name), expect: expect})
+	return err
+}
+
+// List implements [banyanplank.ObjectStore].
+func (s *Storer) List(ctx context.Context, prefix string) (objects []banyanplank.Object, err error) {
+	defer func() { err = errors.Wrapf(err, "list objects %q", prefix) }()
+	query := url.Values{"prefix": {prefix}}
+	var listing Listing
+	err = s.read(ctx, s.timeout, call{method: http.MethodGet, path: "/v1/list", query: query}, &listing)
+	return listing.objects(), err
+}
+
+// Watch implements [banyanplank.ObjectStore].
+func (s *Storer) Watch(ctx context.Context, prefix string, after banyanplank.Version) (objects []banyanplank.Object, err error) {
+	defer func() { err = errors.Wrapf(err, "watch objects %q", prefix) }()
+	query := url.Values{"prefix": {prefix}, "after": {strconv.FormatUint(uint64(after), 10)}}
+	var listing Listing
+	err = s.read(ctx, s.wait, call{method: http.MethodGet, path: "/v1/watch", query: query}, &listing)
+	return listing.objects(), err
+}
+
+// Instances implements [banyanplank.InstanceList].
+func (s *Storer) Instances(ctx context.Context) (instances []banyanplank.Instance, err error) {
+	defer func() { err = errors.Wrap(err, "list instances") }()
+	var roster Roster
+	err = s.read(ctx, s.timeout, call{method: http.MethodGet, path: "/v1/instances"}, &roster)
+	return roster.Instances, err
+}
+
+// read makes a call whose reply is JSON.
+func (s *Storer) read(ctx context.Context, timeout time.Duration, c call, reply any) (err error) {
+	r, err := s.call(ctx, timeout, c)
+	if err != nil {
+		return err
+	}
+	return markIf(json.Unmarshal(r.body, reply), banyanplank.ErrUnavailable)
+}
+
+// call is one call to the platform.
+type call struct {
+	method string
+	path   string
+	query  url.Values
+	body   []byte
+	expect banyanplank.Version
+}
+
+// isWrite reports whether the call may change an object.
+func (c call) isWrite() (write bool) {
+	return c.method != http.MethodGet
+}
+
+// result is the successful reply to a call.
+type result struct {
+	header http.Header
+	body   []byte
+}
+
+// call sends a call and reads its reply.
+func (s *Storer) call(ctx context.Context, timeout time.Duration, c call) (r result, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	request, err := s.request(httptrace.WithClientTrace(ctx, trace), c)
+	if err != nil {
+		return result{}, errors.Mark(err, banyanplank.ErrUnavailable)
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return result{}, errors.Mark(err, failure(c, connected.Load()))
+	}
+	defer response.Body.Close()
+	body, err := readBody(response.Body)
+	if response.StatusCode/100 != 2 {
+		return result{}, refusal(c, response.StatusCode, body)
+	}
+	if err != nil && !c.isWrite() {
+		return result{}, errors.Mark(err, banyanplank.ErrUnavailable)
+	}
+	return result{header: response.Header, body: body}, nil
+}
+
+// request builds the HTTP request of a call.
+func (s *Storer) request(ctx context.Context, c call) (request *http.Request, err error) {
+	target := strings.TrimSuffix(s.base.String(), "/") + c.path
+	if len(c.query) > 0 {
+		target += "?" + c.query.Encode()
+	}
+	request, err = http.NewRequestWithContext(ctx, c.method, target, bytes.NewReader(c.body))
+	if err != nil {
+		return nil, err
+	}
+	if s.key != "" {
+		request.Header.Set("Authorization", "Bearer "+s.key)
+	}
+	if c.isWrite() && c.expect == 0 {
+		request.Header.Set("If-None-Match", "*")
+	}
+	if c.isWrite() && c.expect != 0 {
+		request.Header.Set("If-Match", Tag(c.expect))
+	}
+	return request, nil
+}
+
+// objectPath returns the path of an object. Slashes in its name stay.
+func objectPath(name string) (path string) {
+	return "/v1/objects/" + strings.ReplaceAll(url.PathEscape(name), "%2F", "/")
+}
+
+// readBody reads a reply up to its bound.
+func readBody(body io.Reader) (data []byte, err error) {
+	data, err = io.ReadAll(io.LimitReader(body, maxReply+1))
+	if err == nil && len(data) > maxReply {
+		return nil, errors.Newf("reply is longer than %d bytes", maxReply)
+	}
+	return data, err
+}
+
+// failure classifies a call without a reply. A write is uncertain as soon as
+// a connection was there to carry it.
+func failure(c call, connected bool) (class error) {
+	if c.isWrite() && connected {
+		return banyanplank.ErrUncertain
+	}
+	return banyanplank.ErrUnavailable
+}
+
+// refusal classifies a reply that is no success.
+func refusal(c call, status int, body []byte) (err error) {
+	text := strings.TrimSpace(string(body[:min(len(body), maxMessage)]))
+	return errors.Wrapf(statusClass(c, status), "status %d %q", status, text)
+}
+
+// statusClass returns the error that a status stands for.
+func statusClass(c call, status int) (class error) {
+	switch {
+	case status == http.StatusNotFound:
+		return banyanplank.ErrNotFound
+	case status == http.StatusPreconditionFailed:
+		return banyanplank.ErrConflict
+	case status == http.StatusRequestEntityTooLarge:
+		return banyanplank.ErrTooLarge
+	case status == http.StatusServiceUnavailable:
+		return banyanplank.ErrUnavailable
+	case status >= http.StatusInternalServerError && c.isWrite():
+		return banyanplank.ErrUncertain
+	default:
+		return banyanplank.ErrUnavailable
+	}
+}
+
+// markIf gives an error a class that [errors.Is] recognizes.
+func markIf(err, class error) (marked error) {
+	if err == nil {
+		return nil
+	}
+	return errors.Mark(err, class)
+}
