Admit requests by the tokens they hold at their longest

Cause: entries only guess what an endpoint can carry, and all of them may send at once. Only the agent sees everything that reaches its endpoint.

Change: coordination/admitter keeps the endpoint's limit as a pure state machine behind a small locked wrapper. Requests reserve prompt plus longest answer. The limit starts at a sixteenth of the capacity, grows by half of each finished request's tokens and returns to the cold bound on a new boot, a cold report, a failure, or a jump in step time. An agent that restarts counts what the endpoint says it holds. Waiting requests are served by start-time fair queueing; what cannot start in time is refused at once.

--- /dev/null
+++ b/coordination/admitter/admitter_test.go
@@ -0,0 +1,194 @@
+package admitter_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/admitter"
+)
+
+func request(account string, tokens int) *banyanplank.Request {
+	return &banyanplank.Request{
+		Account: banyanplank.AccountID(account),
+		Demand:  banyanplank.Demand{Prompt: tokens / 2, Longest: tokens - tokens/2},
+	}
+}
+
+// reported returns an admitter whose endpoint has reported its capacity.
+func reported(capacity int, options ...admitter.Option) *admitter.Admitter {
+	a := admitter.New("agent", 1, options...)
+	a.Observe(banyanplank.EndpointReport{Boot: "one", Capacity: capacity})
+	return a
+}
+
+// reason returns the reason of a refusal that says "not run".
+func reason(err error) banyanplank.Reason {
+	var refusal *banyanplank.Refusal
+	if !errors.As(err, &refusal) || refusal.Outcome != banyanplank.NotRun {
+		return ""
+	}
+	return refusal.Reason
+}
+
+func TestManyCallersStayWithinTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := reported(16_000)
+		var held, most, done atomic.Int64
+		var group conc.WaitGroup
+		for i := range 400 {
+			group.Go(func() {
+				grant, err := a.Admit(t.Context(), request(fmt.Sprint(i%10), 500))
+				is.NoErr(err)
+				now := held.Add(500)
+				for was := most.Load(); now > was && !most.CompareAndSwap(was, now); was = most.Load() {
+				}
+				time.Sleep(time.Second)
+				held.Add(-500)
+				grant.Release(true)
+				grant.Release(true)
+				done.Add(1)
+			})
+		}
+		group.Wait()
+		is.Equal(done.Load(), int64(400))
+		is.True(most.Load() <= 16_000)
+		is.Equal(a.Load().Held, 0)
+	})
+}
+
+func TestWaitingRequestGetsItsAnswerAtOnce(t *testing.T) {
+	tests := map[string]struct {
+		act  func(a *admitter.Admitter, cancel context.CancelFunc)
+		want banyanplank.Reason
+		at   time.Duration
+	}{
+		"closed":   {func(a *admitter.Admitter, _ context.CancelFunc) { a.Close(banyanplank.ReasonLeaving) }, banyanplank.ReasonLeaving, time.Second},
+		"canceled": {func(_ *admitter.Admitter, cancel context.CancelFunc) { cancel() }, banyanplank.ReasonCanceled, time.Second},
+		"deadline": {func(*admitter.Admitter, context.CancelFunc) {}, banyanplank.ReasonDeadline, 5 * time.Second},
+		"zone out": {func(a *admitter.Admitter, _ context.CancelFunc) {
+			a.Renew(&banyanplank.Configuration{Zones: []banyanplank.ZoneSpec{{Name: "z", Out: true}}})
+		}, banyanplank.ReasonZoneOut, time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				a := reported(16_000, admitter.WithZone("z"))
+				_, err := a.Admit(t.Context(), request("a", 1000))
+				is.NoErr(err)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				started := time.Now()
+				var group conc.WaitGroup
+				group.Go(func() {
+					late := request("a", 1000)
+					late.Deadline = started.Add(5 * time.Second)
+					_, err := a.Admit(ctx, late)
+					is.Equal(reason(err), test.want)
+					is.Equal(time.Since(started), test.at)
+				})
+				time.Sleep(time.Second)
+				test.act(a, cancel)
+				group.Wait()
+				is.Equal(a.Load().Waiting, 0)
+			})
+		})
+	}
+}
+
+func TestReturningZoneStartsCold(t *testing.T) {
+	is := is.New(t)
+	a := reported(16_000, admitter.WithZone("z"))
+	for range 200 {
+		grant, err := a.Admit(t.Context(), request("a", 500))
+		is.NoErr(err)
+		grant.Release(true)
+	}
+	is.Equal(a.Load().Limit, 16_000)
+	a.Renew(&banyanplank.Configuration{Zones: []banyanplank.ZoneSpec{{Name: "z", Out: true}}})
+	is.True(a.Load().Closed)
+	_, err := a.Admit(t.Context(), request("a", 500))
+	is.Equal(reason(err), banyanplank.ReasonZoneOut)
+	a.Open() // the zone is still out
+	is.True(a.Load().Closed)
+	a.Renew(&banyanplank.Configuration{Zones: []banyanplank.ZoneSpec{{Name: "z"}}})
+	is.Equal(a.Load().Limit, 1000)
+	is.True(a.Load().Cold)
+}
+
+func TestAloneRunsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := reported(16_000)
+		first, err := a.Admit(t.Context(), request("a", 500))
+		is.NoErr(err)
+		var group conc.WaitGroup
+		var ran []string
+		group.Go(func() {
+			grant, err := a.AdmitAlone(t.Context(), request("a", 100))
+			is.NoErr(err)
+			ran = append(ran, "alone")
+			is.Equal(a.Load().Held, 100)
+			time.Sleep(time.Second)
+			grant.Release(true)
+		})
+		synctest.Wait()
+		group.Go(func() {
+			grant, err := a.Admit(t.Context(), request("a", 100))
+			is.NoErr(err)
+			ran = append(ran, "next")
+			grant.Release(true)
+		})
+		synctest.Wait()
+		is.Equal(len(ran), 0)
+		first.Release(true)
+		group.Wait()
+		is.Equal(ran, []string{"alone", "next"})
+	})
+}
+
+func TestPlainServiceCountsSlots(t *testing.T) {
+	is := is.New(t)
+	a := reported(32)
+	var grants []banyanplank.Grant
+	for range 2 {
+		grant, err := a.Admit(t.Context(), &banyanplank.Request{Account: "a"})
+		is.NoErr(err)
+		grants = append(grants, grant)
+	}
+	is.Equal(a.Load().Held, 2)
+	is.Equal(a.Load().Limit, 2)
+	grants[0].Release(true)
+	is.Equal(a.Load().Limit, 3)
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	a := reported(1 << 30)
+	accounts := make([]banyanplank.AccountSpec, 50_000)
+	requests := make([]*banyanplank.Request, len(accounts))
+	for i := range accounts {
+		accounts[i].Name = banyanplank.AccountID(fmt.Sprintf("account-%d", i))
+		requests[i] = request(string(accounts[i].Name), 1000)
+	}
+	a.Renew(&banyanplank.Configuration{Accounts: accounts})
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		grant, err := a.Admit(context.Background(), requests[i%len(requests)])
+		if err != nil {
+			b.Fatal(err)
+		}
+		grant.Release(true)
+		i++
+	}
+}
--- /dev/null
+++ b/coordination/admitter/machine.go
@@ -0,0 +1,362 @@
+package admitter
+
+import (
+	"time"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// machine is the admitter's state. Its methods are pure: they take the time
+// and leave the requests that are decided in its decided list.
+type machine struct {
+	limit   limit
+	pace    pace
+	queue   *queue
+	residue *residue
+	excess  excess
+	// first is the objective for the time to the first token, or zero.
+	first time.Duration
+	// most and mostBytes bound the queue.
+	most      int
+	mostBytes int
+
+	boot    string
+	held    int
+	running int
+	// exclusive tells that a request runs that must be alone.
+	exclusive bool
+	// prefilling is the prompt tokens of requests that have no token yet.
+	prefilling int
+	closed     banyanplank.Reason
+	// decided lists what the latest call decided.
+	decided []decision
+}
+
+// decision is the fate of a request that waited: a nil refusal lets it run.
+type decision struct {
+	ticket  *ticket
+	refusal *banyanplank.Refusal
+}
+
+// phase tells how far a request has come.
+type phase uint8
+
+const (
+	phaseWaiting phase = iota
+	phaseRunning
+	phaseDone
+)
+
+// ticket is one request as the machine knows it.
+type ticket struct {
+	attempt  banyanplank.AttemptID
+	account  *account
+	tokens   int
+	prompt   int
+	bytes    int
+	priority int
+	phase    phase
+	// latest is when the request must have started. Zero means any time.
+	latest   time.Time
+	previous *ticket
+	next     *ticket
+
+	started time.Time
+	// ahead is the prefill work at the start, this request's included.
+	ahead   int
+	tokened time.Time
+	made    int
+	slow    int
+	// alone tells that nothing else may run beside the request.
+	alone bool
+	// wake is whom to tell of the decision.
+	wake *waiter
+}
+
+// isPlain reports whether the request goes to a plain service.
+func isPlain(demand banyanplank.Demand) bool {
+	return demand.Tokens() == 0
+}
+
+// fill sets t up for a request offered at now.
+func (m *machine) fill(t *ticket, now time.Time, request *banyanplank.Request) {
+	t.attempt = request.Attempt
+	t.account = m.queue.account(request.Account)
+	t.tokens = max(1, request.Demand.Tokens())
+	t.prompt = request.Demand.Prompt
+	t.bytes = len(request.Body)
+	t.priority = request.Priority
+	t.latest = request.Deadline
+	if m.first > 0 && !isPlain(request.Demand) {
+		start := now.Add(max(0, m.first-m.pace.prefillTime(t.prompt)))
+		if t.latest.IsZero() || start.Before(t.latest) {
+			t.latest = start
+		}
+	}
+}
+
+// offer takes in a request. It starts, waits, or gets a refusal at once.
+func (m *machine) offer(now time.Time, t *ticket) (refusal *banyanplank.Refusal) {
+	if refusal = m.refuse(now, t); refusal != nil {
+		t.phase = phaseDone
+		return refusal
+	}
+	if m.queue.count == 0 && m.fits(now, t) {
+		m.start(now, t)
+		return nil
+	}
+	if refusal = m.makeRoom(t); refusal != nil {
+		t.phase = phaseDone
+		return refusal
+	}
+	m.queue.push(t)
+	return nil
+}
+
+// refuse returns why t cannot be served in time, or nil.
+func (m *machine) refuse(now time.Time, t *ticket) (refusal *banyanplank.Refusal) {
+	if m.closed != "" {
+		return closedRefusal(m.closed)
+	}
+	if m.limit.capacity > 0 && t.tokens > m.limit.capacity {
+		return invalidRefusal(t.tokens, m.limit.capacity)
+	}
+	if t.latest.IsZero() {
+		return nil
+	}
+	if late := now.Add(m.wait(t)).Sub(t.latest); late > 0 {
+		return lateRefusal(late)
+	}
+	return nil
+}
+
+// wait predicts how long a new request t would wait for its start, and for
+// the prefill work ahead of it.
+func (m *machine) wait(t *ticket) (d time.Duration) {
+	ahead := 0
+	if m.queue.count > 0 {
+		ahead = m.queue.ahead(t)
+	}
+	prefill := m.pace.prefillTime(m.prefilling)
+	missing := ahead + t.tokens - m.free()
+	if missing <= 0 || m.held == 0 {
+		return prefill
+	}
+	drain := time.Duration(float64(missing) / float64(m.held) * float64(m.pace.hold))
+	return max(prefill, drain)
+}
+
+// free returns the tokens that the limit still allows.
+func (m *machine) free() (tokens int) {
+	return m.limit.current - m.held - m.residue.tokens - m.excess.tokens
+}
+
+// isIdle reports whether the endpoint runs nothing.
+func (m *machine) isIdle() bool {
+	return m.running == 0 && m.residue.tokens == 0
+}
+
+// fits reports whether t may start. A request above a cold endpoint's limit
+// runs when nothing else does, because less work than that does not exist.
+func (m *machine) fits(now time.Time, t *ticket) bool {
+	m.residue.expire(now)
+	if m.exclusive || t.alone && !m.isIdle() {
+		return false
+	}
+	if t.tokens <= m.free() {
+		return true
+	}
+	return m.isIdle() && m.limit.capacity > 0 && t.tokens <= m.limit.capacity
+}
+
+// start lets t run.
+func (m *machine) start(now time.Time, t *ticket) {
+	m.queue.charge(t, m.taken(t))
+	m.residue.start(now, t.attempt)
+	m.held += t.tokens
+	m.excess.reserve(m.held + m.residue.tokens)
+	m.running++
+	m.exclusive = t.alone
+	m.prefilling += t.prompt
+	t.ahead = m.prefilling
+	t.phase = phaseRunning
+	t.started = now
+}
+
+// taken returns the tokens that t keeps from others while it runs.
+func (m *machine) taken(t *ticket) (tokens int) {
+	if t.alone {
+		return max(t.tokens, m.limit.current)
+	}
+	return t.tokens
+}
+
+// makeRoom makes room in the queue for t. The account that waits with most for
+// its weight gives way.
+func (m *machine) makeRoom(t *ticket) (refusal *banyanplank.Refusal) {
+	if t.bytes > m.mostBytes {
+		return fullRefusal()
+	}
+	for m.queue.count >= m.most || m.queue.bytes+t.bytes > m.mostBytes {
+		most := m.heaviest()
+		if most == t.account || most == nil {
+			return fullRefusal()
+		}
+		m.refuseWaiting(most.tail, fullRefusal())
+	}
+	return nil
+}
+
+// heaviest returns the account that uses most of what is short in the queue.
+func (m *machine) heaviest() (a *account) {
+	if m.queue.count >= m.most {
+		return m.queue.largest(func(a *account) int { return a.count })
+	}
+	return m.queue.largest(func(a *account) int { return a.bytes })
+}
+
+// refuseWaiting decides a waiting request.
+func (m *machine) refuseWaiting(t *ticket, refusal *banyanplank.Refusal) {
+	m.queue.remove(t)
+	t.phase = phaseDone
+	m.decided = append(m.decided, decision{ticket: t, refusal: refusal})
+}
+
+// drain starts the waiting requests that fit, in order.
+func (m *machine) drain(now time.Time) {
+	if m.closed != "" {
+		return
+	}
+	for t := m.queue.first(); t != nil && m.fits(now, t); t = m.queue.first() {
+		m.queue.remove(t)
+		m.start(now, t)
+		m.decided = append(m.decided, decision{ticket: t})
+	}
+}
+
+// expire decides t when its time to start has passed.
+func (m *machine) expire(now time.Time, t *ticket) {
+	if t.phase != phaseWaiting {
+		return
+	}
+	m.refuseWaiting(t, lateRefusal(now.Sub(t.latest)+m.wait(t)))
+	m.drain(now)
+}
+
+// abandon takes out a waiting request whose caller has gone. It reports false
+// when the request is decided already.
+func (m *machine) abandon(now time.Time, t *ticket) (ok bool) {
+	if t.phase != phaseWaiting {
+		return false
+	}
+	m.queue.remove(t)
+	t.phase = phaseDone
+	m.drain(now)
+	return true
+}
+
+// advance takes in that the answer of t has grown.
+func (m *machine) advance(now time.Time, t *ticket, tokens int) {
+	if t.phase != phaseRunning || tokens <= 0 {
+		return
+	}
+	if t.made == 0 {
+		m.prefilling -= t.prompt
+		m.pace.first(t.ahead, now.Sub(t.started))
+	} else {
+		m.observeStep(now, t, now.Sub(t.tokened)/time.Duration(tokens))
+	}
+	t.made += tokens
+	t.tokened = now
+}
+
+// observeStep takes in one step time that the agent saw itself.
+func (m *machine) observeStep(now time.Time, t *ticket, step time.Duration) {
+	t.slow++
+	if !m.pace.step(step, m.running) {
+		t.slow = 0
+	}
+	if t.slow >= jumpSteps {
+		t.slow = 0
+		m.turnCold()
+		return
+	}
+	m.limit.cut(now, m.held, m.pace.recent)
+}
+
+// withdraw takes back the start of t, which its caller never used.
+func (m *machine) withdraw(now time.Time, t *ticket) {
+	if t.phase != phaseRunning {
+		return
+	}
+	m.release(t)
+	m.drain(now)
+}
+
+// release returns what t held.
+func (m *machine) release(t *ticket) {
+	t.phase = phaseDone
+	m.held -= t.tokens
+	m.running--
+	if t.alone {
+		m.exclusive = false
+	}
+	if t.made == 0 {
+		m.prefilling -= t.prompt
+	}
+}
+
+// finish ends the run of t.
+func (m *machine) finish(now time.Time, t *ticket, healthy bool) {
+	if t.phase != phaseRunning {
+		return
+	}
+	m.release(t)
+	if healthy {
+		m.pace.finish(now.Sub(t.started))
+		m.limit.grow(now, t.tokens, m.pace.recent)
+	} else {
+		m.turnCold()
+	}
+	m.drain(now)
+}
+
+// observe takes in a report of the endpoint.
+func (m *machine) observe(now time.Time, report banyanplank.EndpointReport) {
+	m.limit.observe(now, report)
+	restarted := m.boot != "" && report.Boot != m.boot
+	m.boot = report.Boot
+	if restarted {
+		m.residue.clear()
+	}
+	m.residue.observe(now, report, m.running)
+	m.excess.observe(report.Held, m.held+m.residue.tokens)
+	jump := m.pace.report(report.Step, max(report.Running, m.running))
+	if restarted || jump || report.Cold {
+		m.turnCold()
+	}
+	m.drain(now)
+}
+
+// turnCold lowers the limit to that of a cold endpoint.
+func (m *machine) turnCold() {
+	m.limit.reset()
+	m.pace.forget()
+}
+
+// close refuses all waiting and new requests.
+func (m *machine) close(reason banyanplank.Reason) {
+	m.closed = reason
+	for t := m.queue.first(); t != nil; t = m.queue.first() {
+		m.refuseWaiting(t, closedRefusal(reason))
+	}
+}
+
+// open admits requests again, as in cold start.
+func (m *machine) open() {
+	if m.closed == "" {
+		return
+	}
+	m.closed = ""
+	m.turnCold()
+}
