Pick the endpoint with the least predicted time to the first token

Cause: at an entry, load reports lag and every other entry sees the same ones, so the emptiest endpoint in the reports is soon the fullest.

Change: coordination/picker compares a sample of destinations in the own zone, a sample elsewhere and the endpoint with the longest cached prefix, by the predicted time to the first token. Own requests count at once, old reports give way to the service's typical load, and late starts are learned. A choice now carries the time at which it was made.

Conclusion: the rapid oracle finds no pick of a closed, leaving, tried or out-of-zone endpoint, and no refusal while one is allowed.

--- /dev/null
+++ b/coordination/picker/picker_test.go
@@ -0,0 +1,401 @@
+package picker
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// zones are the zones of the tests, in two regions.
+var zones = []banyanplank.ZoneSpec{
+	{Name: "a", Region: "north"},
+	{Name: "b", Region: "north"},
+	{Name: "c", Region: "south"},
+}
+
+// agent returns the member beside one endpoint.
+func agent(id string, zone banyanplank.Zone) banyanplank.Member {
+	return banyanplank.Member{ID: banyanplank.DaemonID(id), Incarnation: 1, Role: banyanplank.RoleAgent, Zone: zone, Service: "chat"}
+}
+
+// agents returns members spread over the zones a and b.
+func agents(count int) (members []banyanplank.Member) {
+	for i := range count {
+		members = append(members, agent(fmt.Sprintf("agent-%03d", i), zones[i%2].Name))
+	}
+	return members
+}
+
+// newPicker returns a picker in zone a that knows the members.
+func newPicker(members ...banyanplank.Member) *Picker {
+	p := New("entry", rand.New(rand.NewPCG(1, 2)), WithZone("a"))
+	p.Renew(epoch, members, &banyanplank.Configuration{Zones: zones})
+	return p
+}
+
+// report returns the report of an endpoint in service.
+func report(id string, sequence uint64) banyanplank.LoadReport {
+	return banyanplank.LoadReport{
+		Daemon: banyanplank.DaemonID(id), Incarnation: 1, Sequence: sequence,
+		Limit: 100_000, Prefill: 10_000, Step: 30 * time.Millisecond,
+	}
+}
+
+// chatting returns a query for a prompt of the given tokens.
+func chatting(prompt int) banyanplank.Query {
+	return banyanplank.Query{Service: "chat", Zone: "a", Demand: banyanplank.Demand{Prompt: prompt, Longest: 200}}
+}
+
+// counts picks many times and counts the choices.
+func counts(t *testing.T, p *Picker, query banyanplank.Query, picks int) (chosen map[banyanplank.DaemonID]int) {
+	t.Helper()
+	chosen = map[banyanplank.DaemonID]int{}
+	for range picks {
+		choice, err := p.Pick(epoch, query)
+		if err != nil {
+			t.Fatal(err)
+		}
+		chosen[choice.Member.ID]++
+	}
+	return chosen
+}
+
+func TestPickAvoids(t *testing.T) {
+	closed := report("bad", 1)
+	closed.Closed = true
+	tests := map[string]func(p *Picker, bad banyanplank.Member, query *banyanplank.Query){
+		"closed": func(p *Picker, _ banyanplank.Member, _ *banyanplank.Query) { p.Observe(epoch, closed) },
+		"tried": func(_ *Picker, bad banyanplank.Member, query *banyanplank.Query) {
+			query.Avoid = append(query.Avoid, bad.ID)
+		},
+		"not reached": func(p *Picker, bad banyanplank.Member, _ *banyanplank.Query) {
+			p.Finish(epoch, banyanplank.Choice{Member: bad}, banyanplank.Result{})
+		},
+		"leaving": func(p *Picker, bad banyanplank.Member, _ *banyanplank.Query) {
+			bad.State = banyanplank.MemberLeaving
+			p.Renew(epoch, []banyanplank.Member{agent("good", "b"), bad}, &banyanplank.Configuration{Zones: zones})
+		},
+		"suspect": func(p *Picker, bad banyanplank.Member, _ *banyanplank.Query) {
+			bad.State = banyanplank.MemberSuspect
+			p.Renew(epoch, []banyanplank.Member{agent("good", "b"), bad}, &banyanplank.Configuration{Zones: zones})
+		},
+		"zone out": func(p *Picker, bad banyanplank.Member, _ *banyanplank.Query) {
+			out := slices.Clone(zones)
+			out[0].Out = true
+			p.Renew(epoch, []banyanplank.Member{agent("good", "b"), bad}, &banyanplank.Configuration{Zones: out})
+		},
+		"model not loaded": func(p *Picker, _ banyanplank.Member, query *banyanplank.Query) {
+			other := report("bad", 1)
+			other.Models = []string{"small"}
+			p.Observe(epoch, other)
+			query.Demand.Model = "large"
+		},
+		"queue": func(p *Picker, _ banyanplank.Member, _ *banyanplank.Query) {
+			busy := report("bad", 1)
+			busy.Queued = 50_000
+			p.Observe(epoch, busy)
+		},
+		"memory full": func(p *Picker, _ banyanplank.Member, _ *banyanplank.Query) {
+			full := report("bad", 1)
+			full.Held, full.Waiting = 100_000, 5
+			p.Observe(epoch, full)
+		},
+		"cold": func(p *Picker, _ banyanplank.Member, _ *banyanplank.Query) {
+			cold := report("bad", 1)
+			cold.Limit, cold.Held, cold.Cold = 6000, 6000, true
+			p.Observe(epoch, cold)
+		},
+	}
+	for name, act := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			bad := agent("bad", "a")
+			p := newPicker(bad, agent("good", "b"))
+			p.Observe(epoch, report("good", 1))
+			query := chatting(100)
+			is.Equal(counts(t, p, query, 1)["bad"], 1) // the own zone goes first
+			act(p, bad, &query)
+			is.Equal(counts(t, p, query, 5)["good"], 5)
+		})
+	}
+}
+
+func TestOwnRequestsCountAtOnce(t *testing.T) {
+	is := is.New(t)
+	p := newPicker(agent("one", "a"), agent("two", "a"))
+	p.Observe(epoch, report("one", 1))
+	p.Observe(epoch, report("two", 1))
+	chosen := counts(t, p, chatting(1000), 100)
+	is.True(chosen["one"] >= 49)
+	is.True(chosen["two"] >= 49)
+}
+
+func TestSpillOver(t *testing.T) {
+	is := is.New(t)
+	p := newPicker(agent("near", "a"), agent("far", "b"))
+	p.Observe(epoch, report("near", 1))
+	p.Observe(epoch, report("far", 1))
+	is.Equal(counts(t, p, chatting(100), 2)["near"], 2)
+	chosen := counts(t, p, chatting(1000), 100) // 100 ms of prefill each
+	is.True(chosen["far"] >= 48)
+}
+
+func TestOldAndDoubledReports(t *testing.T) {
+	is := is.New(t)
+	p := newPicker(agent("one", "a"))
+	busy := report("one", 5)
+	busy.Queued = 10_000
+	p.Observe(epoch, busy)
+	p.Observe(epoch, report("one", 4))
+	choice, err := p.Pick(epoch, chatting(1000))
+	is.NoErr(err)
+	is.Equal(choice.Start, 1100*time.Millisecond)
+	p.Observe(epoch, busy) // must not forget the own request
+	choice, err = p.Pick(epoch, chatting(1000))
+	is.NoErr(err)
+	is.Equal(choice.Start, 1200*time.Millisecond)
+}
+
+func TestReportsThatStopOrLie(t *testing.T) {
+	tests := map[string]func(p *Picker) (now time.Time){
+		"stop": func(p *Picker) time.Time {
+			later := epoch.Add(staleTime)
+			busy := report("good", 2)
+			busy.Queued = 1000
+			p.Observe(later, busy)
+			// The bad one was idle when it was last heard of, and then got work.
+			for range 3 {
+				p.endpoints["bad"].choose(chatting(3000).Demand)
+			}
+			return later
+		},
+		"lie": func(p *Picker) time.Time {
+			for range 10 {
+				choice := banyanplank.Choice{Member: agent("bad", "a"), Start: 10 * time.Millisecond, At: epoch}
+				p.Finish(epoch, choice, banyanplank.Result{Reached: true, Started: true, First: 3 * time.Second})
+			}
+			return epoch
+		},
+	}
+	for name, act := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPicker(agent("bad", "a"), agent("good", "a"))
+			p.Observe(epoch, report("bad", 1))
+			p.Observe(epoch, report("good", 1))
+			choice, err := p.Pick(act(p), chatting(100))
+			is.NoErr(err)
+			is.Equal(choice.Member.ID, banyanplank.DaemonID("good"))
+		})
+	}
+}
+
+func TestPrefixIsFollowedUntilItsEndpointIsBusy(t *testing.T) {
+	is := is.New(t)
+	p := newPicker(agents(20)...)
+	for i := range 20 {
+		p.Observe(epoch, report(fmt.Sprintf("agent-%03d", i), 1))
+	}
+	query := chatting(6400)
+	for i := range uint64(100) {
+		query.Demand.Prefix = append(query.Demand.Prefix, i+1)
+	}
+	first, err := p.Pick(epoch, query)
+	is.NoErr(err)
+	p.Finish(epoch, first, banyanplank.Result{Reached: true, Started: true})
+	again, err := p.Pick(epoch, query)
+	is.NoErr(err)
+	is.Equal(again.Member.ID, first.Member.ID)
+	busy := report(string(first.Member.ID), 2)
+	busy.Queued = 20_000
+	p.Observe(epoch, busy)
+	other, err := p.Pick(epoch, query)
+	is.NoErr(err)
+	is.True(other.Member.ID != first.Member.ID)
+	cold := report(string(first.Member.ID), 3)
+	cold.Cold = true
+	p.Observe(epoch, cold)
+	is.Equal(p.index.Covered(p.endpoints[first.Member.ID].index, query.Demand.Prefix), 0)
+}
+
+func TestGroupHasPaceOfItsSlowestRank(t *testing.T) {
+	is := is.New(t)
+	members := []banyanplank.Member{agent("alone", "a")}
+	for i := range 4 {
+		rank := agent(fmt.Sprintf("rank-%d", i), "a")
+		rank.Group, rank.Rank = "g", i
+		members = append(members, rank)
+	}
+	p := New("entry", rand.New(rand.NewPCG(1, 2)), WithZone("a"))
+	configuration := &banyanplank.Configuration{Zones: zones, Groups: []banyanplank.GroupSpec{{Name: "g", Ranks: 4}}}
+	p.Renew(epoch, members, configuration)
+	p.Observe(epoch, report("alone", 1))
+	for i := range 4 {
+		own := report(fmt.Sprintf("rank-%d", i), 1)
+		own.Prefill = 40_000
+		if i == 3 {
+			own.Prefill = 2000
+		}
+		p.Observe(epoch, own)
+	}
+	is.Equal(counts(t, p, chatting(1000), 3)["alone"], 3)
+	healed := report("rank-3", 2)
+	healed.Prefill = 40_000
+	p.Observe(epoch, healed)
+	is.Equal(counts(t, p, chatting(1000), 3)["alone"], 0)
+	p.Renew(epoch, members[:4], configuration) // one rank has gone
+	is.Equal(counts(t, p, chatting(100), 3)["alone"], 3)
+}
+
+func TestSubsetIsStable(t *testing.T) {
+	is := is.New(t)
+	members := agents(600)
+	for i := range 420 {
+		members = append(members, banyanplank.Member{ID: banyanplank.DaemonID(fmt.Sprintf("entry-%d", i)), Role: banyanplank.RoleEntry})
+	}
+	p := newPicker(members...)
+	names := func() (names []string) {
+		s := p.services["chat"]
+		for _, d := range append(slices.Clone(s.local), s.remote...) {
+			names = append(names, d.name)
+		}
+		return names
+	}
+	before := names()
+	is.Equal(len(before), leastSubset)
+	p.Renew(epoch, append(slices.Clone(members[:300]), members[310:]...), &banyanplank.Configuration{Zones: zones})
+	after := names()
+	is.Equal(len(after), leastSubset)
+	kept := 0
+	for _, name := range after {
+		if slices.Contains(before, name) {
+			kept++
+		}
+	}
+	is.True(kept >= leastSubset-10) // only those that left are replaced
+	p.Renew(epoch, members, &banyanplank.Configuration{Zones: zones})
+	is.Equal(names(), before)
+}
+
+func TestSubsetsCoverAllDestinations(t *testing.T) {
+	is := is.New(t)
+	var all []*destination
+	for i := range 600 {
+		all = append(all, &destination{name: fmt.Sprintf("agent-%03d", i)})
+	}
+	for _, entries := range []int{8, 60, 420} {
+		reached := map[string]int{}
+		for i := range entries {
+			for _, d := range subset(banyanplank.DaemonID(fmt.Sprintf("entry-%d", i)), all, subsetSize(600, entries)) {
+				reached[d.name]++
+			}
+		}
+		is.Equal(len(reached), 600)
+	}
+}
+
+// TestPickIsAlwaysAllowed checks against an oracle that lists which endpoints
+// may get new work.
+func TestPickIsAlwaysAllowed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := agents(rapid.IntRange(1, 12).Draw(t, "members"))
+		specs := slices.Clone(zones)
+		closed := map[banyanplank.DaemonID]bool{}
+		p := newPicker(members...)
+		sequence := uint64(0)
+		var open []banyanplank.Choice
+		t.Repeat(map[string]func(*rapid.T){
+			"member": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(members)-1).Draw(t, "member")
+				members[i].State = banyanplank.MemberState(rapid.IntRange(0, 3).Draw(t, "state"))
+				p.Renew(epoch, members, &banyanplank.Configuration{Zones: specs})
+				if members[i].State == banyanplank.MemberGone {
+					delete(closed, members[i].ID)
+				}
+			},
+			"zone": func(t *rapid.T) {
+				specs[rapid.IntRange(0, 1).Draw(t, "zone")].Out = rapid.Bool().Draw(t, "out")
+				p.Renew(epoch, members, &banyanplank.Configuration{Zones: specs})
+			},
+			"report": func(t *rapid.T) {
+				m := members[rapid.IntRange(0, len(members)-1).Draw(t, "member")]
+				sequence++
+				own := report(string(m.ID), sequence)
+				own.Closed = rapid.Bool().Draw(t, "closed")
+				own.Held = rapid.IntRange(0, 200_000).Draw(t, "held")
+				if _, ok := p.endpoints[m.ID]; ok {
+					closed[m.ID] = own.Closed
+				}
+				p.Observe(epoch, own)
+			},
+			"finish": func(t *rapid.T) {
+				if len(open) == 0 {
+					t.Skip("none")
+				}
+				p.Finish(epoch, open[0], banyanplank.Result{Reached: true, Started: true, First: time.Second})
+				open = open[1:]
+			},
+			"pick": func(t *rapid.T) {
+				query := chatting(rapid.IntRange(1, 9000).Draw(t, "prompt"))
+				query.Avoid = []banyanplank.DaemonID{members[rapid.IntRange(0, len(members)-1).Draw(t, "avoid")].ID}
+				var allowed []banyanplank.DaemonID
+				for _, m := range members {
+					isOut := (&banyanplank.Configuration{Zones: specs}).IsZoneOut(m.Zone)
+					if m.State == banyanplank.MemberLive && !isOut && !closed[m.ID] && m.ID != query.Avoid[0] {
+						allowed = append(allowed, m.ID)
+					}
+				}
+				choice, err := p.Pick(epoch, query)
+				var refusal *banyanplank.Refusal
+				switch {
+				case err == nil && !slices.Contains(allowed, choice.Member.ID):
+					t.Fatalf("%s may not get new work", choice.Member.ID)
+				case err == nil:
+					open = append(open, choice)
+				case len(allowed) > 0:
+					t.Fatalf("refused although %v are allowed", allowed)
+				case !errors.As(err, &refusal) || refusal.Outcome != banyanplank.NotRun:
+					t.Fatalf("unexpected error %v", err)
+				}
+			},
+		})
+	})
+}
+
+func BenchmarkPick(b *testing.B) {
+	for name, entries := range map[string]int{"600 endpoints 8 entries": 8, "600 endpoints 420 entries": 420} {
+		b.Run(name, func(b *testing.B) {
+			members := agents(600)
+			for i := range entries {
+				members = append(members, banyanplank.Member{ID: banyanplank.DaemonID(fmt.Sprintf("entry-%d", i)), Role: banyanplank.RoleEntry})
+			}
+			p := newPicker(members...)
+			for i := range 600 {
+				p.Observe(epoch, report(fmt.Sprintf("agent-%03d", i), 1))
+			}
+			query := chatting(6400)
+			for i := range uint64(100) {
+				query.Demand.Prefix = append(query.Demand.Prefix, i+1)
+			}
+			result := banyanplank.Result{Reached: true, Started: true, First: time.Second}
+			b.ReportAllocs()
+			for b.Loop() {
+				choice, err := p.Pick(epoch, query)
+				if err != nil {
+					b.Fatal(err)
+				}
+				p.Finish(epoch, choice, result)
+			}
+		})
+	}
+}
--- a/picker.go
+++ b/picker.go
@@ -47,6 +47,8 @@
 	Demand Demand
 	// Start is the predicted time to the first token.
 	Start time.Duration
+	// At is when the endpoint was chosen.
+	At time.Time
 }
 
 // Result tells a [Picker] how a choice turned out.
