--- a/binding.go
+++ b/binding.go
@@ -62,8 +62,8 @@
 	Generation uint64
 	// Call digests the call that the key stands for.
 	Call Digest
-	// Made is when the key was first bound.
-	Made time.Time
+	// Until is when the agent stops starting the request.
+	Until time.Time
 }
 
 // Bound reports whether the binding names an agent.
