--- /dev/null
+++ b/examples/declare/main.go
@@ -0,0 +1,42 @@
+// Command declare prints the configuration of one of two deployments, as their
+// operators would declare it:
+//
+//	go run ./examples/declare himal > himal.toml
+//	go run ./examples/declare saddlewright > saddlewright.toml
+//	banyanplank check himal.toml
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/banyanplank/banyanplank/declarer"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+// run prints the deployment that the arguments name.
+func run(arguments []string) (code int) {
+	deployments := map[string]func() *declarer.Declaration{
+		"himal":        himal,
+		"saddlewright": saddlewright,
+	}
+	if len(arguments) != 1 || deployments[arguments[0]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: declare himal|saddlewright")
+		return exitUsage
+	}
+	err := deployments[arguments[0]]().Write(os.Stdout)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
