Learn pace only from streamed answers

Cause: an answer without a stream arrives as one part at its end, so its first part was taken for a very slow prefill. A request that was admitted and never ran counted as finished work.

Change: pace comes from streams, prompts of other requests count as read after the predicted time, and the limit grows only after an answer was made. The capacity of the settings counts until the endpoint reports one.

--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -55,13 +55,19 @@
 	return func(a *Admitter) { a.machine.most, a.machine.mostBytes = count, bytes }
 }
 
-// WithFloor sets the limit, in tokens or slots, while the endpoint has not
-// reported its capacity. The default is one, which admits plain calls one by
+// WithFloor sets the limit, in tokens or slots, while the capacity is not
+// known. The default is one, which admits plain calls one by
 // one and holds model requests back until the first report.
 func WithFloor(limit int) Option {
 	return func(a *Admitter) { a.machine.limit.floor = limit }
 }
 
+// WithCapacity sets the capacity, in tokens or slots, that counts until the
+// endpoint reports one. The default is none.
+func WithCapacity(capacity int) Option {
+	return func(a *Admitter) { a.machine.limit.capacity = max(0, capacity) }
+}
+
 // WithColdShare sets which part of its capacity a cold endpoint carries: 16
 // stands for a sixteenth. Use it when the endpoint's cold start is known to
 // carry more or less. The default is 16.
@@ -236,13 +242,14 @@
 	defer a.mu.Unlock()
 	a.sequence++
 	m := a.machine
+	m.tick(time.Now())
 	return banyanplank.LoadReport{
 		Daemon:      a.daemon,
 		Incarnation: a.incarnation,
 		Sequence:    a.sequence,
 		Limit:       m.limit.current,
 		Held:        m.held + m.residue.tokens,
-		Queued:      m.prefilling + m.queue.prompts,
+		Queued:      m.prefilling.tokens + m.queue.prompts,
 		Waiting:     m.queue.count,
 		Prefill:     m.pace.prefill,
 		Step:        m.pace.recent,
--- a/coordination/admitter/admitter_test.go
+++ b/coordination/admitter/admitter_test.go
@@ -112,6 +112,7 @@
 	for range 200 {
 		grant, err := a.Admit(t.Context(), request("a", 500))
 		is.NoErr(err)
+		grant.Progress(1)
 		grant.Release(true)
 	}
 	is.Equal(a.Load().Limit, 16_000)
@@ -168,6 +169,7 @@
 	}
 	is.Equal(a.Load().Held, 2)
 	is.Equal(a.Load().Limit, 2)
+	grants[0].Progress(1)
 	grants[0].Release(true)
 	is.Equal(a.Load().Limit, 3)
 }
--- a/coordination/admitter/machine.go
+++ b/coordination/admitter/machine.go
@@ -25,8 +25,8 @@
 	running int
 	// exclusive tells that a request runs that must be alone.
 	exclusive bool
-	// prefilling is the prompt tokens of requests that have no token yet.
-	prefilling int
+	// prefilling is the prompt tokens that the endpoint has still to work off.
+	prefilling prefilling
 	closed     banyanplank.Reason
 	// decided lists what the latest call decided.
 	decided []decision
@@ -67,6 +67,12 @@
 	tokened time.Time
 	made    int
 	slow    int
+	// stream tells that the answer's parts show the endpoint's pace.
+	stream bool
+	// due is when the prompt of a request without a stream counts as read, and
+	// isRead tells that it is.
+	due    time.Time
+	isRead bool
 	// alone tells that nothing else may run beside the request.
 	alone bool
 	// wake is whom to tell of the decision.
@@ -87,7 +93,8 @@
 	t.bytes = len(request.Body)
 	t.priority = request.Priority
 	t.latest = request.Deadline
-	if m.first > 0 && !isPlain(request.Demand) {
+	t.stream = request.Stream
+	if m.first > 0 && t.stream && !isPlain(request.Demand) {
 		start := now.Add(max(0, m.first-m.pace.prefillTime(t.prompt)))
 		if t.latest.IsZero() || start.Before(t.latest) {
 			t.latest = start
@@ -97,11 +104,12 @@
 
 // offer takes in a request. It starts, waits, or gets a refusal at once.
 func (m *machine) offer(now time.Time, t *ticket) (refusal *banyanplank.Refusal) {
+	m.tick(now)
 	if refusal = m.refuse(now, t); refusal != nil {
 		t.phase = phaseDone
 		return refusal
 	}
-	if m.queue.count == 0 && m.fits(now, t) {
+	if m.queue.count == 0 && m.fits(t) {
 		m.start(now, t)
 		return nil
 	}
@@ -130,6 +138,12 @@
 	return nil
 }
 
+// tick takes in that time has passed.
+func (m *machine) tick(now time.Time) {
+	m.prefilling.expire(now)
+	m.residue.expire(now)
+}
+
 // wait predicts how long a new request t would wait for its start, and for
 // the prefill work ahead of it.
 func (m *machine) wait(t *ticket) (d time.Duration) {
@@ -137,7 +151,7 @@
 	if m.queue.count > 0 {
 		ahead = m.queue.ahead(t)
 	}
-	prefill := m.pace.prefillTime(m.prefilling)
+	prefill := m.pace.prefillTime(m.prefilling.tokens)
 	missing := ahead + t.tokens - m.free()
 	if missing <= 0 || m.held == 0 {
 		return prefill
@@ -158,8 +172,7 @@
 
 // fits reports whether t may start. A request above a cold endpoint's limit
 // runs when nothing else does, because less work than that does not exist.
-func (m *machine) fits(now time.Time, t *ticket) bool {
-	m.residue.expire(now)
+func (m *machine) fits(t *ticket) bool {
 	if m.exclusive || t.alone && !m.isIdle() {
 		return false
 	}
@@ -177,10 +190,9 @@
 	m.excess.reserve(m.held + m.residue.tokens)
 	m.running++
 	m.exclusive = t.alone
-	m.prefilling += t.prompt
-	t.ahead = m.prefilling
 	t.phase = phaseRunning
 	t.started = now
+	t.ahead = m.prefilling.start(now, t, &m.pace)
 }
 
 // taken returns the tokens that t keeps from others while it runs.
@@ -227,7 +239,8 @@
 	if m.closed != "" {
 		return
 	}
-	for t := m.queue.first(); t != nil && m.fits(now, t); t = m.queue.first() {
+	m.tick(now)
+	for t := m.queue.first(); t != nil && m.fits(t); t = m.queue.first() {
 		m.queue.remove(t)
 		m.start(now, t)
 		m.decided = append(m.decided, decision{ticket: t})
@@ -261,15 +274,24 @@
 		return
 	}
 	if t.made == 0 {
-		m.prefilling -= t.prompt
-		m.pace.first(t.ahead, now.Sub(t.started))
-	} else {
-		m.observeStep(now, t, now.Sub(t.tokened)/time.Duration(tokens))
+		m.prefilling.end(t)
+	}
+	if t.stream {
+		m.learn(now, t, tokens)
 	}
 	t.made += tokens
 	t.tokened = now
 }
 
+// learn takes in the pace that a part of a streamed answer tells of.
+func (m *machine) learn(now time.Time, t *ticket, tokens int) {
+	if t.made == 0 {
+		m.pace.first(t.ahead, now.Sub(t.started))
+		return
+	}
+	m.observeStep(now, t, now.Sub(t.tokened)/time.Duration(tokens))
+}
+
 // observeStep takes in one step time that the agent saw itself.
 func (m *machine) observeStep(now time.Time, t *ticket, step time.Duration) {
 	t.slow++
@@ -301,9 +323,7 @@
 	if t.alone {
 		m.exclusive = false
 	}
-	if t.made == 0 {
-		m.prefilling -= t.prompt
-	}
+	m.prefilling.end(t)
 }
 
 // finish ends the run of t.
@@ -312,11 +332,12 @@
 		return
 	}
 	m.release(t)
-	if healthy {
+	switch {
+	case !healthy:
+		m.turnCold()
+	case t.made > 0:
 		m.pace.finish(now.Sub(t.started))
 		m.limit.grow(now, t.tokens, m.pace.recent)
-	} else {
-		m.turnCold()
 	}
 	m.drain(now)
 }
