--- a/endpoint.go
+++ b/endpoint.go
@@ -46,6 +46,8 @@
 	Step time.Duration `json:"step"`
 	// Attempts are the attempts that the endpoint still runs.
 	Attempts []AttemptID `json:"attempts,omitempty"`
+	// Rank is the place of the endpoint in its group of ranks, if it has one.
+	Rank *RankStatus `json:"rank,omitempty"`
 }
 
 // OrderKind tells what an order changes.
--- a/rankload.go
+++ b/rankload.go
@@ -17,10 +17,29 @@
 	Arrived uint64
 	// Busy is the rank's own time in one step, without waiting for others.
 	Busy time.Duration
-	// Tokens counts the tokens of each slot, by layer and slot.
+	// Late is how long the rank has kept the others waiting at the barrier of
+	// the current step. Zero means that it has arrived or isn't overdue.
+	Late time.Duration
+	// Tokens counts the tokens of each slot, by layer and slot. It is empty in
+	// a report that only tells how far the rank is.
 	Tokens []uint32
 }
 
+// RankStatus is what an endpoint says of its rank's place in the group. Zero
+// map ids mean none.
+type RankStatus struct {
+	// Boot changes whenever the rank restarts.
+	Boot string `json:"boot"`
+	// Map is the expert map in use.
+	Map MapID `json:"map"`
+	// Step is the latest step that the rank has begun.
+	Step uint64 `json:"step"`
+	// Prepared is the map whose weights are loaded beside those in use.
+	Prepared MapID `json:"prepared,omitempty"`
+	// Armed is the prepared map that the rank offers at its barriers.
+	Armed MapID `json:"armed,omitempty"`
+}
+
 // Popularity is the demand for each expert of a group.
 type Popularity struct {
 	Shape MapShape
