Keep pooled connections usable after a call ends

Cause: under 40 parallel callers the path benchmark cut answers with "outcome unknown: context canceled". The entry canceled a call as soon as it saw the End, before the agent's close had arrived; drpc then closed the connection, and the next call took it from the pool. Ruled out: the caller's own context, which was live in every failed call.

Change: after an End or a Refused the dialer waits for the agent's close before it frees the connection. A failure before the request is sent is now told as "not run", and a closed connection from the pool is replaced at once.

--- a/transport/dialer/call.go
+++ b/transport/dialer/call.go
@@ -30,11 +30,22 @@
 			c.head = banyanplank.Head{Status: int(body.Head.GetStatus()), Type: body.Head.GetType()}
 			return nil
 		case *carrier.Down_Refused:
+			c.finish()
 			return body.Refused.Refusal()
 		}
 	}
 }
 
+// finish waits for the agent's close after its last message, so that the
+// connection is free for the next call. Canceling before that would close it.
+func (c *call) finish() {
+	for {
+		if _, err := c.stream.Recv(); err != nil {
+			return
+		}
+	}
+}
+
 // receive returns the next message and reports its load.
 func (c *call) receive() (down *carrier.Down, err error) {
 	down, err = c.stream.Recv()
@@ -65,8 +76,10 @@
 		case *carrier.Down_Part:
 			return banyanplank.Part{Offset: body.Part.GetOffset(), Data: body.Part.GetData()}, nil
 		case *carrier.Down_End:
+			c.finish()
 			return part, io.EOF
 		case *carrier.Down_Refused:
+			c.finish()
 			return part, body.Refused.Refusal()
 		}
 	}
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -30,6 +30,8 @@
 	// cancelGrace lets a send in progress finish before a canceled call
 	// closes its connection.
 	cancelGrace = 20 * time.Millisecond
+	// staleConnections bounds the closed connections that one call meets.
+	staleConnections = 8
 )
 
 // Dialer opens connections to peers and keeps idle ones. One connection
@@ -117,7 +119,7 @@
 // it. The error is a [*banyanplank.Refusal].
 func (d *Dialer) Open(ctx context.Context, member banyanplank.Member, request *banyanplank.Request) (answer banyanplank.Answer, err error) {
 	ctx, cancel := context.WithCancel(ctx)
-	stream, err := carrier.NewDRPCCarrierClient(d.Conn(ctx, member.Peer)).Call(ctx)
+	stream, err := d.call(ctx, member)
 	if err != nil {
 		cancel()
 		return nil, refuse(err)
@@ -138,6 +140,23 @@
 	return call, nil
 }
 
+// call opens a stream to member. The request is not sent yet, so every error is
+// a [*dialError]. A pooled connection may turn out to be closed: another one is
+// taken then.
+func (d *Dialer) call(ctx context.Context, member banyanplank.Member) (stream carrier.DRPCCarrier_CallClient, err error) {
+	for range staleConnections {
+		stream, err = carrier.NewDRPCCarrierClient(d.Conn(ctx, member.Peer)).Call(ctx)
+		var dial *dialError
+		if err == nil || ctx.Err() != nil || errors.As(err, &dial) {
+			break
+		}
+	}
+	if err != nil {
+		return nil, &dialError{cause: err}
+	}
+	return stream, nil
+}
+
 // refuse turns any error of a call into a refusal. Only a failed dial proves
 // that the agent got nothing.
 func refuse(err error) (refusal *banyanplank.Refusal) {
