Test event ids and tickets at the receiver

Cause: the receiver's tests knew the forwarder before it took a place to resume at and gave tickets. Change: the recorded forwarder takes both; new cases refuse foreign event ids and tickets without a key or service. No earlier case is changed. Conclusion: an event's id leads back to where the answer is.

--- /dev/null
+++ b/transport/receiver/event_test.go
@@ -0,0 +1,47 @@
+package receiver_test
+
+import (
+	"encoding/json"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanplank/banyanplank/coordination/claimer"
+	"github.com/banyanplank/banyanplank/coordination/forwarder"
+	"github.com/banyanplank/banyanplank/transport/receiver"
+)
+
+// TestEventIDLeadsBack reads an event's id and comes back with it.
+func TestEventIDLeadsBack(t *testing.T) {
+	is := is.New(t)
+	forward := &recorded{kind: "text/event-stream", parts: []string{"one", "two"}}
+	call := func(id string) (body string) {
+		request := httptest.NewRequest("POST", "/v1/chat/completions", strings.NewReader(`{"model":"guide","stream":true}`))
+		request.Header.Set("Authorization", "Bearer "+secret)
+		request.Header.Set("Last-Event-ID", id)
+		response := httptest.NewRecorder()
+		newReceiver(forward).ServeHTTP(response, request)
+		return response.Body.String()
+	}
+	body := call("")
+	is.Equal(body, "id: 1/r1.0/agent/1\ndata: one\n\nid: 2/r1.0/agent/1\ndata: two\n\ndata: [DONE]\n\n")
+	is.Equal(forward.places[0], nil)
+	call("2/r1.0/agent/1")
+	is.Equal(forward.requests[1].Offset, uint64(2))
+	is.Equal(*forward.places[1], forwarder.Place{Daemon: "agent/1", Attempt: "r1.0"})
+}
+
+func TestTicketIsAKey(t *testing.T) {
+	is := is.New(t)
+	request := httptest.NewRequest("POST", "/v1/tickets/permits", nil)
+	request.Header.Set("Authorization", "Bearer "+secret)
+	response := httptest.NewRecorder()
+	newReceiver(&recorded{}).ServeHTTP(response, request)
+	var ticket receiver.Ticket
+	is.NoErr(json.Unmarshal(response.Body.Bytes(), &ticket))
+	is.True(claimer.IsTicket(ticket.Key))
+	_, err := claimer.ParseTicket(ticket.Key)
+	is.NoErr(err)
+}
--- a/transport/receiver/receiver_test.go
+++ b/transport/receiver/receiver_test.go
@@ -16,6 +16,8 @@
 	"github.com/matryer/is"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/claimer"
+	"github.com/banyanplank/banyanplank/coordination/forwarder"
 	"github.com/banyanplank/banyanplank/state/keeper"
 	"github.com/banyanplank/banyanplank/transport/receiver"
 )
@@ -23,16 +25,22 @@
 // recorded is a forwarder that keeps what it was given.
 type recorded struct {
 	requests []*banyanplank.Request
+	places   []*forwarder.Place
 	parts    []string
 	cut      error
 	kind     string
 }
 
-func (r *recorded) Forward(_ context.Context, request *banyanplank.Request) (answer banyanplank.Answer, err error) {
+func (r *recorded) Forward(_ context.Context, request *banyanplank.Request, place *forwarder.Place) (delivery forwarder.Delivery, err error) {
 	r.requests = append(r.requests, request)
+	r.places = append(r.places, place)
 	return &script{kind: r.kind, parts: r.parts, cut: r.cut}, nil
 }
 
+func (r *recorded) Ticket(now time.Time, _ banyanplank.AccountID, _ banyanplank.ServiceName, nonce string) (ticket claimer.Ticket, err error) {
+	return claimer.Ticket{Daemon: "agent", Incarnation: 1, Until: now.Add(time.Minute), Nonce: nonce}, nil
+}
+
 // script is an answer of fixed parts and an optional cut.
 type script struct {
 	kind  string
@@ -58,6 +66,10 @@
 
 func (s *script) Close() (err error) { return nil }
 
+func (s *script) Place() (place forwarder.Place) {
+	return forwarder.Place{Daemon: "agent/1", Attempt: "r1.0"}
+}
+
 type oneEntry struct{}
 
 func (oneEntry) Advertise(string) (entries []banyanplank.Member, keep time.Duration) {
@@ -102,6 +114,10 @@
 		"no tokens wanted":   {method: "POST", path: chat, key: secret, body: `{"model":"guide","max_tokens":0}`, status: 400, reason: banyanplank.ReasonInvalid},
 		"negative patience":  {method: "POST", path: chat, key: secret, body: `{"model":"guide"}`, header: map[string]string{receiver.HeaderTimeoutMillis: "-1"}, status: 400, reason: banyanplank.ReasonInvalid},
 		"oversized body":     {method: "POST", path: chat, key: secret, body: strings.Repeat("x", 65), options: []receiver.Option{receiver.WithBody(64)}, status: 400, reason: banyanplank.ReasonInvalid},
+		"foreign event id":   {method: "POST", path: chat, key: secret, body: `{"model":"guide"}`, header: map[string]string{"Last-Event-ID": "12"}, status: 400, reason: banyanplank.ReasonInvalid},
+		"negative event id":  {method: "POST", path: chat, key: secret, body: `{"model":"guide"}`, header: map[string]string{"Last-Event-ID": "-1/a/b"}, status: 400, reason: banyanplank.ReasonInvalid},
+		"unknown ticket":     {method: "POST", path: "/v1/tickets/none", key: secret, status: 400, reason: banyanplank.ReasonInvalid},
+		"ticket without key": {method: "POST", path: "/v1/tickets/permits", status: 401, reason: banyanplank.ReasonForbidden},
 		"unknown path":       {method: "GET", path: "/v2", key: secret, status: 400, reason: banyanplank.ReasonInvalid},
 		"unknown plain":      {method: "GET", path: "/v1/services/none/x", key: secret, status: 400, reason: banyanplank.ReasonInvalid},
 		"entry is not ready": {method: "GET", path: "/v1/services/permits/x", key: secret, options: []receiver.Option{receiver.WithReady(func() bool { return false })}, status: 503, reason: banyanplank.ReasonStale},
