Test the arbiter row by row and on any case

Cause: the failure table needs one place in code and a check of each row. Change: one test case per row, and a rapid test that draws any case. Conclusion: nothing sent is called not run, and no bound request goes elsewhere without its agent's promise.

--- /dev/null
+++ b/coordination/arbiter/arbiter_test.go
@@ -0,0 +1,185 @@
+package arbiter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/arbiter"
+)
+
+// notRun returns an agent's promise never to run the request.
+func notRun(reason banyanplank.Reason) *banyanplank.Refusal {
+	return &banyanplank.Refusal{Outcome: banyanplank.NotRun, Reason: reason}
+}
+
+// TestFailureTable has one case for each row of the table in docs/delivery.md.
+func TestFailureTable(t *testing.T) {
+	tests := map[string]struct {
+		given   arbiter.Case
+		last    bool
+		action  arbiter.Action
+		outcome banyanplank.Outcome
+	}{
+		"1 nothing to pick": {
+			given:  arbiter.Case{Step: arbiter.StepPick, Refusal: notRun(banyanplank.ReasonNoEndpoint)},
+			action: arbiter.ActionRefuse, outcome: banyanplank.NotRun},
+		"1 nothing to pick, earlier try lost": {
+			given:  arbiter.Case{Step: arbiter.StepPick, Sent: true, Refusal: notRun(banyanplank.ReasonNoEndpoint)},
+			action: arbiter.ActionRefuse, outcome: banyanplank.OutcomeUnknown},
+		"2 claim conflicts": {
+			given:  arbiter.Case{Step: arbiter.StepBind, Binding: arbiter.BindingClaim, Refusal: notRun(banyanplank.ReasonConflict)},
+			action: arbiter.ActionRefuse, outcome: banyanplank.NotRun},
+		"3 store down": {
+			given: arbiter.Case{Step: arbiter.StepBind, Binding: arbiter.BindingClaim,
+				Refusal: &banyanplank.Refusal{Outcome: banyanplank.OutcomeUnknown, Reason: banyanplank.ReasonStore}},
+			action: arbiter.ActionRefuse, outcome: banyanplank.OutcomeUnknown},
+		"4 no connection, repeatable": {
+			given:  arbiter.Case{Step: arbiter.StepDial, Cause: arbiter.CauseDial},
+			action: arbiter.ActionElsewhere},
+		"4 no connection, repeatable, last": {
+			given: arbiter.Case{Step: arbiter.StepDial, Cause: arbiter.CauseDial}, last: true,
+			action: arbiter.ActionRefuse, outcome: banyanplank.NotRun},
+		"5 no connection, own": {
+			given:  arbiter.Case{Step: arbiter.StepDial, Cause: arbiter.CauseDial, Binding: arbiter.BindingOwn},
+			action: arbiter.ActionElsewhere},
+		"6 no connection, key": {
+			given:  arbiter.Case{Step: arbiter.StepDial, Cause: arbiter.CauseDial, Binding: arbiter.BindingClaim},
+			action: arbiter.ActionRejoin},
+		"6 no connection, key, last": {
+			given: arbiter.Case{Step: arbiter.StepDial, Cause: arbiter.CauseDial, Binding: arbiter.BindingClaim}, last: true,
+			action: arbiter.ActionRefuse, outcome: banyanplank.OutcomeUnknown},
+		"6 no connection, ticket, last": {
+			given: arbiter.Case{Step: arbiter.StepDial, Cause: arbiter.CauseDial, Binding: arbiter.BindingTicket}, last: true,
+			action: arbiter.ActionRefuse, outcome: banyanplank.OutcomeUnknown},
+		"7 lost while sending": {
+			given:  arbiter.Case{Step: arbiter.StepSend, Cause: arbiter.CausePath, Sent: true},
+			action: arbiter.ActionRejoin},
+		"7 lost while sending, key": {
+			given:  arbiter.Case{Step: arbiter.StepSend, Cause: arbiter.CausePath, Sent: true, Binding: arbiter.BindingClaim},
+			action: arbiter.ActionRejoin},
+		"7 lost while sending, last": {
+			given: arbiter.Case{Step: arbiter.StepSend, Cause: arbiter.CausePath, Sent: true}, last: true,
+			action: arbiter.ActionRefuse, outcome: banyanplank.OutcomeUnknown},
+		"8 agent refuses": {
+			given:  arbiter.Case{Step: arbiter.StepSend, Refusal: notRun(banyanplank.ReasonOverload)},
+			action: arbiter.ActionElsewhere},
+		"8 agent refuses, key": {
+			given:  arbiter.Case{Step: arbiter.StepSend, Binding: arbiter.BindingClaim, Refusal: notRun(banyanplank.ReasonLeaving)},
+			action: arbiter.ActionElsewhere},
+		"8 agent refuses, last": {
+			given: arbiter.Case{Step: arbiter.StepSend, Refusal: notRun(banyanplank.ReasonOverload)}, last: true,
+			action: arbiter.ActionRefuse, outcome: banyanplank.NotRun},
+		"8 agent refuses after another was lost, last": {
+			given: arbiter.Case{Step: arbiter.StepSend, Sent: true, Refusal: notRun(banyanplank.ReasonOverload)}, last: true,
+			action: arbiter.ActionRefuse, outcome: banyanplank.OutcomeUnknown},
+		"9 agent refuses, ticket": {
+			given:  arbiter.Case{Step: arbiter.StepSend, Binding: arbiter.BindingTicket, Refusal: notRun(banyanplank.ReasonOverload)},
+			action: arbiter.ActionRefuse, outcome: banyanplank.NotRun},
+		"9 agent refuses for good": {
+			given:  arbiter.Case{Step: arbiter.StepSend, Refusal: notRun(banyanplank.ReasonInvalid)},
+			action: arbiter.ActionRefuse, outcome: banyanplank.NotRun},
+		"10 lost after acceptance": {
+			given:  arbiter.Case{Step: arbiter.StepAccept, Cause: arbiter.CausePath, Sent: true, Binding: arbiter.BindingOwn},
+			action: arbiter.ActionRejoin},
+		"11 lost in mid-answer": {
+			given:  arbiter.Case{Step: arbiter.StepAnswer, Cause: arbiter.CausePath, Sent: true, Delivered: true},
+			action: arbiter.ActionRejoin},
+		"12 agent gone in mid-answer, stream of tokens": {
+			given:  arbiter.Case{Step: arbiter.StepAnswer, Cause: arbiter.CauseDial, Sent: true, Delivered: true, Resumable: true},
+			action: arbiter.ActionElsewhere},
+		"12 agent gone in mid-answer, plain": {
+			given: arbiter.Case{Step: arbiter.StepAnswer, Cause: arbiter.CauseDial, Sent: true, Delivered: true}, last: true,
+			action: arbiter.ActionRefuse, outcome: banyanplank.OutcomeUnknown},
+		"12 agent gone in mid-answer, key": {
+			given: arbiter.Case{Step: arbiter.StepAnswer, Cause: arbiter.CauseDial, Sent: true, Delivered: true, Binding: arbiter.BindingClaim}, last: true,
+			action: arbiter.ActionRefuse, outcome: banyanplank.OutcomeUnknown},
+		"13 agent restarted": {
+			given:  arbiter.Case{Step: arbiter.StepSend, Cause: arbiter.CauseRestart, Sent: true},
+			action: arbiter.ActionElsewhere},
+		"13 agent restarted, key": {
+			given:  arbiter.Case{Step: arbiter.StepSend, Cause: arbiter.CauseRestart, Binding: arbiter.BindingClaim},
+			action: arbiter.ActionRefuse, outcome: banyanplank.OutcomeUnknown},
+		"14 endpoint died": {
+			given:  arbiter.Case{Step: arbiter.StepAccept, Cause: arbiter.CauseEndpoint, Sent: true},
+			action: arbiter.ActionElsewhere},
+		"14 endpoint died, key": {
+			given:  arbiter.Case{Step: arbiter.StepAccept, Cause: arbiter.CauseEndpoint, Sent: true, Binding: arbiter.BindingOwn},
+			action: arbiter.ActionRefuse, outcome: banyanplank.OutcomeUnknown},
+		"14 endpoint died in mid-answer, plain": {
+			given:  arbiter.Case{Step: arbiter.StepAnswer, Cause: arbiter.CauseEndpoint, Sent: true, Delivered: true},
+			action: arbiter.ActionRefuse, outcome: banyanplank.OutcomeUnknown},
+		"15 deadline before sending": {
+			given:  arbiter.Case{Step: arbiter.StepPick, Cause: arbiter.CauseDeadline},
+			action: arbiter.ActionRefuse, outcome: banyanplank.NotRun},
+		"15 deadline after sending": {
+			given:  arbiter.Case{Step: arbiter.StepAccept, Cause: arbiter.CauseDeadline, Sent: true},
+			action: arbiter.ActionRefuse, outcome: banyanplank.OutcomeUnknown},
+		"16 caller gone": {
+			given:  arbiter.Case{Step: arbiter.StepAnswer, Cause: arbiter.CauseCaller, Sent: true},
+			action: arbiter.ActionCancel},
+		"16 caller gone, key": {
+			given:  arbiter.Case{Step: arbiter.StepAccept, Cause: arbiter.CauseCaller, Sent: true, Binding: arbiter.BindingClaim},
+			action: arbiter.ActionLeave},
+		"17 ran, answer no longer kept": {
+			given: arbiter.Case{Step: arbiter.StepAccept, Sent: true, Binding: arbiter.BindingClaim,
+				Refusal: &banyanplank.Refusal{Outcome: banyanplank.Ran, Reason: banyanplank.ReasonExpired}},
+			action: arbiter.ActionRefuse, outcome: banyanplank.Ran},
+		"18 still in progress": {
+			given: arbiter.Case{Step: arbiter.StepAccept, Sent: true, Binding: arbiter.BindingClaim,
+				Refusal: &banyanplank.Refusal{Outcome: banyanplank.OutcomeUnknown, Reason: banyanplank.ReasonInProgress}},
+			action: arbiter.ActionRefuse, outcome: banyanplank.OutcomeUnknown},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			test.given.Left = time.Second
+			if !test.last {
+				test.given.Tries = 1
+			}
+			verdict := arbiter.Judge(test.given)
+			is.Equal(verdict.Action, test.action)
+			is.Equal(verdict.Refusal != nil, test.action == arbiter.ActionRefuse)
+			if verdict.Refusal != nil {
+				is.Equal(verdict.Refusal.Outcome, test.outcome)
+			}
+		})
+	}
+}
+
+// TestJudgeIsCareful draws any case. A request that an agent may have is never
+// called not run, and one that may not be repeated never goes elsewhere unless
+// its agent has refused it or no one can have sent it.
+func TestJudgeIsCareful(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := arbiter.Case{
+			Step:      arbiter.Step(rapid.IntRange(0, 5).Draw(t, "step")),
+			Cause:     arbiter.Cause(rapid.IntRange(0, 6).Draw(t, "cause")),
+			Binding:   arbiter.Binding(rapid.IntRange(0, 3).Draw(t, "binding")),
+			Delivered: rapid.Bool().Draw(t, "delivered"),
+			Resumable: rapid.Bool().Draw(t, "resumable"),
+			Sent:      rapid.Bool().Draw(t, "sent"),
+			Tries:     rapid.IntRange(0, 2).Draw(t, "tries"),
+			Left:      time.Duration(rapid.IntRange(0, 2).Draw(t, "left")),
+			Refusal: &banyanplank.Refusal{
+				Outcome: rapid.SampledFrom([]banyanplank.Outcome{banyanplank.NotRun, banyanplank.OutcomeUnknown}).Draw(t, "outcome"),
+				Reason:  rapid.SampledFrom([]banyanplank.Reason{banyanplank.ReasonOverload, banyanplank.ReasonInvalid}).Draw(t, "reason"),
+			},
+		}
+		verdict := arbiter.Judge(c)
+		if verdict.Refusal != nil && verdict.Refusal.Outcome == banyanplank.NotRun && (c.Sent || c.Delivered) {
+			t.Fatalf("not run after it was sent: %+v", c)
+		}
+		promised := c.Cause == arbiter.CauseRefused && c.Refusal.Outcome == banyanplank.NotRun && c.Step >= arbiter.StepSend
+		unsent := c.Binding == arbiter.BindingOwn && c.Cause == arbiter.CauseDial && !c.Sent
+		if verdict.Action == arbiter.ActionElsewhere && c.Binding != arbiter.BindingNone && !promised && !unsent {
+			t.Fatalf("elsewhere without a promise: %+v", c)
+		}
+		if verdict.Action == arbiter.ActionElsewhere && c.Delivered && !c.Resumable {
+			t.Fatalf("elsewhere in the middle of an answer: %+v", c)
+		}
+	})
+}
