Recognize requests that crash endpoints

Cause: a request that takes down its endpoint is sent again by its caller, and takes down the next one. What broke an answer off is seen only at the agent, and an entry that goes away must not count as a dead endpoint.

Change: coordination/suspecter watches the endpoint itself. At a death every running request becomes a suspect, runs only alone, and is refused once two deaths leave no other to blame. The admitter admits a request alone, and waits for the endpoint's first report before it starts anything.

--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -242,7 +242,8 @@
 	defer a.mu.Unlock()
 	a.sequence++
 	m := a.machine
-	m.tick(time.Now())
+	m.drain(time.Now())
+	a.deliver()
 	return banyanplank.LoadReport{
 		Daemon:      a.daemon,
 		Incarnation: a.incarnation,
@@ -260,6 +261,13 @@
 	}
 }
 
+// Fail tells that the endpoint was lost or not reached, which sets it cold.
+func (a *Admitter) Fail() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.machine.turnCold()
+}
+
 // Loaded tells which models and adapters the endpoint has loaded, for entries
 // to see in [Admitter.Load]. An order that changed them sets the endpoint cold.
 func (a *Admitter) Loaded(models, adapters []string) {
--- a/coordination/admitter/admitter_test.go
+++ b/coordination/admitter/admitter_test.go
@@ -158,6 +158,39 @@
 	})
 }
 
+func TestNothingStartsBeforeTheFirstReport(t *testing.T) {
+	tests := map[string]struct {
+		report bool
+		want   time.Duration
+	}{
+		"reports":       {true, time.Second},
+		"never reports": {false, 3 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				a := admitter.New("agent", 1, admitter.WithCapacity(16_000))
+				started := time.Now()
+				var group conc.WaitGroup
+				group.Go(func() {
+					_, err := a.Admit(t.Context(), request("a", 500))
+					is.NoErr(err)
+					is.Equal(time.Since(started), test.want)
+				})
+				for range 4 {
+					time.Sleep(time.Second)
+					if test.report {
+						a.Observe(banyanplank.EndpointReport{Boot: "one", Capacity: 16_000})
+					}
+					a.Load()
+				}
+				group.Wait()
+			})
+		})
+	}
+}
+
 func TestPlainServiceCountsSlots(t *testing.T) {
 	is := is.New(t)
 	a := reported(32)
--- a/coordination/admitter/machine.go
+++ b/coordination/admitter/machine.go
@@ -20,6 +20,8 @@
 	most      int
 	mostBytes int
 
+	// known tells that the endpoint has reported.
+	known   bool
 	boot    string
 	held    int
 	running int
@@ -104,7 +106,7 @@
 
 // offer takes in a request. It starts, waits, or gets a refusal at once.
 func (m *machine) offer(now time.Time, t *ticket) (refusal *banyanplank.Refusal) {
-	m.tick(now)
+	m.drain(now)
 	if refusal = m.refuse(now, t); refusal != nil {
 		t.phase = phaseDone
 		return refusal
@@ -140,6 +142,8 @@
 
 // tick takes in that time has passed.
 func (m *machine) tick(now time.Time) {
+	// An endpoint that never reports is taken as idle in the end.
+	m.known = m.known || m.residue.isSettled(now)
 	m.prefilling.expire(now)
 	m.residue.expire(now)
 }
@@ -173,7 +177,7 @@
 // fits reports whether t may start. A request above a cold endpoint's limit
 // runs when nothing else does, because less work than that does not exist.
 func (m *machine) fits(t *ticket) bool {
-	if m.exclusive || t.alone && !m.isIdle() {
+	if !m.known || m.exclusive || t.alone && !m.isIdle() {
 		return false
 	}
 	if t.tokens <= m.free() {
@@ -344,6 +348,7 @@
 
 // observe takes in a report of the endpoint.
 func (m *machine) observe(now time.Time, report banyanplank.EndpointReport) {
+	m.known = true
 	m.limit.observe(now, report)
 	restarted := m.boot != "" && report.Boot != m.boot
 	m.boot = report.Boot
--- /dev/null
+++ b/coordination/suspecter/guard.go
@@ -0,0 +1,286 @@
+package suspecter
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// Admitter is an admitter that can also let a request run alone.
+type Admitter interface {
+	banyanplank.Admitter
+	// AdmitAlone waits until the endpoint runs nothing and holds it whole.
+	AdmitAlone(ctx context.Context, request *banyanplank.Request) (grant banyanplank.Grant, err error)
+	// Fail tells that the endpoint was lost or not reached.
+	Fail()
+}
+
+// Guard stands before an admitter and an endpoint. It observes which requests
+// run when the endpoint dies, lets suspects run only alone, and refuses those
+// that crash endpoints. It implements [banyanplank.Admitter].
+type Guard struct {
+	Admitter
+	daemon   banyanplank.DaemonID
+	endpoint banyanplank.Endpoint
+	share    func(Finding)
+
+	mu       sync.Mutex
+	suspects *Suspects
+	boot     string
+	// running lists the grants, the latest started first.
+	running []*guarded
+	// doubt is a death that no report has confirmed yet, or that one has
+	// denied.
+	doubt  *Finding
+	denied bool
+}
+
+// Option configures a [Guard].
+type Option func(*Guard)
+
+// WithShare hands each own finding to share, which passes it to the other
+// daemons. Share must not wait. The default keeps findings to itself.
+func WithShare(share func(Finding)) Option {
+	return func(g *Guard) { g.share = share }
+}
+
+// NewGuard returns a guard for the endpoint beside the named daemon.
+func NewGuard(daemon banyanplank.DaemonID, admitter Admitter, endpoint banyanplank.Endpoint, options ...Option) *Guard {
+	g := &Guard{
+		Admitter: admitter,
+		daemon:   daemon,
+		endpoint: endpoint,
+		share:    func(Finding) {},
+		suspects: NewSuspects(),
+	}
+	for _, option := range options {
+		option(g)
+	}
+	return g
+}
+
+// Learn takes in a finding of another daemon.
+func (g *Guard) Learn(finding Finding) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.suspects.Observe(time.Now(), finding)
+}
+
+// Admit implements [banyanplank.Admitter].
+func (g *Guard) Admit(ctx context.Context, request *banyanplank.Request) (grant banyanplank.Grant, err error) {
+	print := FingerprintOf(request)
+	verdict, retry := g.judge(print)
+	admit := g.Admitter.Admit
+	switch verdict {
+	case VerdictRefused:
+		return nil, refused(retry)
+	case VerdictAlone:
+		admit = g.AdmitAlone
+	}
+	grant, err = admit(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	// The verdict may have changed while the request waited.
+	later, retry := g.judge(print)
+	if later > verdict {
+		grant.Release(true)
+		return nil, refused(min(retry, time.Second))
+	}
+	return g.start(grant, request.Attempt, print), nil
+}
+
+// judge returns the verdict on a request and how long it stays.
+func (g *Guard) judge(print Fingerprint) (verdict Verdict, retry time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	return g.suspects.Judge(now, print), g.suspects.Retry(now, print)
+}
+
+func refused(retry time.Duration) error {
+	return &banyanplank.Refusal{
+		Outcome:    banyanplank.NotRun,
+		Reason:     banyanplank.ReasonSuspect,
+		RetryAfter: retry,
+		Detail:     "endpoints failed while they ran this request",
+	}
+}
+
+// start counts in a request that runs from now on.
+func (g *Guard) start(grant banyanplank.Grant, attempt banyanplank.AttemptID, print Fingerprint) *guarded {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := &guarded{Grant: grant, guard: g, attempt: attempt, print: print}
+	g.running = slices.Insert(g.running, 0, r)
+	return r
+}
+
+// guarded is the grant of a request that the guard watches.
+type guarded struct {
+	banyanplank.Grant
+	guard    *Guard
+	attempt  banyanplank.AttemptID
+	print    Fingerprint
+	began    bool
+	failed   bool
+	released bool
+}
+
+// Progress implements [banyanplank.Grant].
+func (r *guarded) Progress(tokens int) {
+	r.Grant.Progress(tokens)
+}
+
+// Release implements [banyanplank.Grant]. Whether the endpoint survived is
+// what the guard saw of it: an answer that broke off on its way to the entry
+// tells nothing of the endpoint.
+func (r *guarded) Release(healthy bool) {
+	failed := r.guard.finish(r, healthy)
+	r.Grant.Release(!failed)
+}
+
+// finish counts out a request, and clears it when it ended well.
+func (g *Guard) finish(r *guarded, healthy bool) (failed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r.released {
+		return r.failed
+	}
+	r.released = true
+	g.running = slices.DeleteFunc(g.running, func(other *guarded) bool { return other == r })
+	now := time.Now()
+	endedWell := healthy && r.began && !r.failed
+	if endedWell && g.suspects.Judge(now, r.print) == VerdictAlone {
+		g.tell(now, Finding{Kind: FindingCleared, Requests: []Fingerprint{r.print}})
+	}
+	return r.failed
+}
+
+// tell takes in an own finding and shares it.
+func (g *Guard) tell(now time.Time, finding Finding) {
+	if g.suspects.Observe(now, finding) {
+		g.share(finding)
+	}
+}
+
+// begin marks an attempt as begun at the endpoint.
+func (g *Guard) begin(attempt banyanplank.AttemptID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.running {
+		if r.attempt == attempt {
+			r.began = true
+		}
+	}
+}
+
+// fail takes in that the endpoint broke off an attempt. What runs beside it is
+// suspect at once, until a report shows that the endpoint lives on.
+func (g *Guard) fail(attempt banyanplank.AttemptID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.running {
+		if r.attempt == attempt {
+			r.failed = true
+		}
+	}
+	if g.doubt != nil && !g.denied {
+		return
+	}
+	death := Finding{Kind: FindingDeath, Death: DeathOf(g.daemon, g.boot)}
+	for _, r := range g.running {
+		if r.began {
+			death.Requests = append(death.Requests, r.print)
+		}
+	}
+	g.doubt, g.denied = &death, false
+	g.tell(time.Now(), death)
+}
+
+// Observe implements [banyanplank.Admitter].
+func (g *Guard) Observe(report banyanplank.EndpointReport) {
+	g.confirm(report.Boot)
+	g.Admitter.Observe(report)
+}
+
+// confirm settles a doubt. The same boot means that the endpoint lives on;
+// because reports lag, a later change of boot confirms the death after all.
+func (g *Guard) confirm(boot string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	restarted := g.boot != boot
+	g.boot = boot
+	if g.doubt == nil {
+		return
+	}
+	switch {
+	case restarted:
+		g.tell(time.Now(), *g.doubt)
+		g.doubt = nil
+	case !g.denied:
+		g.denied = true
+		g.tell(time.Now(), Finding{Kind: FindingWithdrawn, Death: g.doubt.Death, Requests: g.doubt.Requests})
+	}
+}
+
+// Endpoint returns the endpoint, watched by the guard.
+func (g *Guard) Endpoint() banyanplank.Endpoint {
+	return &watched{Endpoint: g.endpoint, guard: g}
+}
+
+// watched is an endpoint whose failures the guard sees.
+type watched struct {
+	banyanplank.Endpoint
+	guard *Guard
+}
+
+// Run implements [banyanplank.Endpoint].
+func (w *watched) Run(ctx context.Context, request *banyanplank.Request) (answer banyanplank.Answer, err error) {
+	w.guard.begin(request.Attempt)
+	answer, err = w.Endpoint.Run(ctx, request)
+	if err != nil {
+		w.observe(ctx, request.Attempt, err)
+		return nil, err
+	}
+	return &watchedAnswer{Answer: answer, ctx: ctx, watched: w, attempt: request.Attempt}, nil
+}
+
+// observe takes in an error of the endpoint, unless it comes from the caller's
+// giving up.
+func (w *watched) observe(ctx context.Context, attempt banyanplank.AttemptID, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	var refusal *banyanplank.Refusal
+	if !errors.As(err, &refusal) || refusal.Outcome != banyanplank.NotRun {
+		w.guard.fail(attempt)
+		return
+	}
+	if refusal.Reason == banyanplank.ReasonEndpoint {
+		w.guard.Fail() // it was not reached, so it may be about to boot
+	}
+}
+
+// watchedAnswer is an answer whose breaking off the guard sees.
+type watchedAnswer struct {
+	banyanplank.Answer
+	ctx     context.Context
+	watched *watched
+	attempt banyanplank.AttemptID
+}
+
+// Next implements [banyanplank.Answer].
+func (a *watchedAnswer) Next() (part banyanplank.Part, err error) {
+	part, err = a.Answer.Next()
+	if err != nil && !errors.Is(err, io.EOF) {
+		a.watched.observe(a.ctx, a.attempt, err)
+	}
+	return part, err
+}
--- /dev/null
+++ b/coordination/suspecter/suspects_test.go
@@ -0,0 +1,121 @@
+package suspecter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func printOf(account, body string) Fingerprint {
+	return FingerprintOf(&banyanplank.Request{Account: banyanplank.AccountID(account), Body: []byte(body)})
+}
+
+func TestJudge(t *testing.T) {
+	bad, good, other := printOf("a", "bad"), printOf("a", "good"), printOf("b", "good")
+	fall := func(id DeathID, requests ...Fingerprint) Finding { return Finding{Death: id, Requests: requests} }
+	tests := map[string]struct {
+		findings []Finding
+		after    time.Duration
+		bad      Verdict
+		good     Verdict
+	}{
+		"unknown":             {nil, 0, VerdictFree, VerdictFree},
+		"crowd":               {[]Finding{fall(1, bad, good)}, 0, VerdictAlone, VerdictAlone},
+		"doubled":             {[]Finding{fall(1, bad), fall(1, bad)}, 0, VerdictAlone, VerdictFree},
+		"then alone":          {[]Finding{fall(1, bad, good), fall(2, bad)}, 0, VerdictRefused, VerdictAlone},
+		"two crowds":          {[]Finding{fall(1, bad, good), fall(2, other, bad)}, 0, VerdictRefused, VerdictAlone},
+		"same crowd twice":    {[]Finding{fall(1, bad, good), fall(2, bad, good)}, 0, VerdictAlone, VerdictAlone},
+		"cleared":             {[]Finding{fall(1, bad, good), {Kind: FindingCleared, Requests: []Fingerprint{good}}}, 0, VerdictAlone, VerdictFree},
+		"cleared when guilty": {[]Finding{fall(1, bad), fall(2, bad), {Kind: FindingCleared, Requests: []Fingerprint{bad}}}, 0, VerdictRefused, VerdictFree},
+		"withdrawn":           {[]Finding{fall(1, bad, good), {Kind: FindingWithdrawn, Death: 1, Requests: []Fingerprint{bad, good}}}, 0, VerdictFree, VerdictFree},
+		"expired":             {[]Finding{fall(1, bad), fall(2, bad)}, expiry + time.Second, VerdictFree, VerdictFree},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := NewSuspects()
+			for _, finding := range test.findings {
+				s.Observe(epoch, finding)
+			}
+			is.Equal(s.Judge(epoch.Add(test.after), bad), test.bad)
+			is.Equal(s.Judge(epoch.Add(test.after), good), test.good)
+			is.True(s.Judge(epoch, printOf("b", "bad")) == VerdictFree) // another account's equal request
+		})
+	}
+}
+
+// TestCrashingRequestsAreStopped plays endpoints that die of some requests.
+// The oracle knows which ones: none of the others is ever refused, and each of
+// them takes down two endpoints at most once findings have spread.
+func TestCrashingRequestsAreStopped(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewSuspects()
+		now := epoch
+		crashing := map[Fingerprint]bool{}
+		deaths := map[Fingerprint]int{}
+		var requests []Fingerprint
+		for i := range 8 {
+			print := printOf(fmt.Sprint(i%3), fmt.Sprint(i))
+			crashing[print] = i < 2
+			requests = append(requests, print)
+		}
+		for id := range rapid.IntRange(1, 60).Draw(t, "rounds") {
+			now = now.Add(time.Second)
+			var crowd []Fingerprint
+			for _, index := range rapid.SliceOfNDistinct(rapid.IntRange(0, 7), 1, 5, rapid.ID[int]).Draw(t, "crowd") {
+				print := requests[index]
+				switch verdict := s.Judge(now, print); {
+				case verdict == VerdictRefused && !crashing[print]:
+					t.Fatalf("a harmless request is refused")
+				case verdict == VerdictAlone && len(crowd) == 0:
+					crowd = append(crowd, print)
+				case verdict == VerdictFree:
+					crowd = append(crowd, print)
+				}
+				if len(crowd) == 1 && s.Judge(now, crowd[0]) == VerdictAlone {
+					break
+				}
+			}
+			if len(crowd) == 0 {
+				continue
+			}
+			fell := false
+			for _, print := range crowd {
+				if crashing[print] {
+					deaths[print]++
+					fell = true
+				}
+			}
+			kind := FindingCleared
+			if fell {
+				kind = FindingDeath
+			}
+			s.Observe(now, Finding{Kind: kind, Death: DeathID(id + 1), Requests: crowd})
+		}
+		for print, count := range deaths {
+			if count > 2 {
+				t.Fatalf("request %x took down %d endpoints", print, count)
+			}
+		}
+	})
+}
+
+func TestOneAccountCannotFillTheMemory(t *testing.T) {
+	is := is.New(t)
+	s := NewSuspects()
+	for i := range 10_000 {
+		s.Observe(epoch, Finding{Death: DeathID(i), Requests: []Fingerprint{printOf("flood", fmt.Sprint(i))}})
+	}
+	for id := range DeathID(2) {
+		s.Observe(epoch, Finding{Death: id, Requests: []Fingerprint{printOf("small", "bad")}})
+	}
+	is.Equal(s.Judge(epoch, printOf("small", "bad")), VerdictRefused)
+	is.True(len(s.accounts[printOf("flood", "").account()]) <= mostSuspects)
+}
