Wire the picker, the admitter and the guard into the daemon

Cause: the daemon picked endpoints in turn and admitted by a plain count. A request that became a suspect while it waited was refused although it was harmless, which a run of the tests found by chance.

The agent observes its endpoint at its start. A request that becomes a suspect while it waits is admitted anew, alone.

--- a/coordination/suspecter/guard.go
+++ b/coordination/suspecter/guard.go
@@ -72,28 +72,33 @@
 	g.suspects.Observe(time.Now(), finding)
 }
 
-// Admit implements [banyanplank.Admitter].
+// Admit implements [banyanplank.Admitter]. A request that becomes a suspect
+// while it waits is admitted anew, alone.
 func (g *Guard) Admit(ctx context.Context, request *banyanplank.Request) (grant banyanplank.Grant, err error) {
 	print := FingerprintOf(request)
 	verdict, retry := g.judge(print)
-	admit := g.Admitter.Admit
-	switch verdict {
-	case VerdictRefused:
-		return nil, refused(retry)
-	case VerdictAlone:
-		admit = g.AdmitAlone
-	}
-	grant, err = admit(ctx, request)
-	if err != nil {
-		return nil, err
-	}
-	// The verdict may have changed while the request waited.
-	later, retry := g.judge(print)
-	if later > verdict {
+	for {
+		if verdict == VerdictRefused {
+			return nil, refused(retry)
+		}
+		grant, err = g.admit(ctx, request, verdict)
+		if err != nil {
+			return nil, err
+		}
+		admitted := verdict
+		if verdict, retry = g.judge(print); verdict <= admitted {
+			return g.start(grant, request.Attempt, print), nil
+		}
 		grant.Release(true)
-		return nil, refused(min(retry, time.Second))
 	}
-	return g.start(grant, request.Attempt, print), nil
+}
+
+// admit asks the admitter as the verdict demands.
+func (g *Guard) admit(ctx context.Context, request *banyanplank.Request, verdict Verdict) (grant banyanplank.Grant, err error) {
+	if verdict == VerdictAlone {
+		return g.AdmitAlone(ctx, request)
+	}
+	return g.Admitter.Admit(ctx, request)
 }
 
 // judge returns the verdict on a request and how long it stays.
--- a/coordination/suspecter/guard_test.go
+++ b/coordination/suspecter/guard_test.go
@@ -216,6 +216,26 @@
 	})
 }
 
+func TestSuspectWhileItWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, f := newGuard("one", func(suspecter.Finding) {})
+		var group conc.WaitGroup
+		for i := range 161 { // one more than fit
+			group.Go(func() { is.NoErr(run(t.Context(), g, fmt.Sprint(i), "a", "good")) })
+		}
+		synctest.Wait()
+		is.Equal(f.peak(), 160)
+		print := suspecter.FingerprintOf(&banyanplank.Request{Account: "a", Body: []byte("good")})
+		g.Learn(suspecter.Finding{Death: 1, Requests: []suspecter.Fingerprint{print}})
+		time.Sleep(1500 * time.Millisecond)
+		f.peak()
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(f.peak(), 1)
+		group.Wait()
+	})
+}
+
 func TestBrokenAnswerIsNoDeath(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -28,11 +28,8 @@
 }
 
 func newAgent(d *Daemon) (a *agent, err error) {
-	a = &agent{
-		daemon:   d,
-		endpoint: invoker.New(d.settings.Endpoint.Address),
-		admitter: newAdmitter(d.settings, d.member),
-	}
+	guard := newGuard(d.settings, d.member, invoker.New(d.settings.Endpoint.Address))
+	a = &agent{daemon: d, endpoint: guard.Endpoint(), admitter: guard}
 	return a, d.listener.HandleCalls(a)
 }
 
@@ -50,6 +47,7 @@
 func (a *agent) serve(ctx context.Context) (err error) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
+	a.observe(ctx)
 	for {
 		select {
 		case <-ctx.Done():
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -25,7 +25,7 @@
 }
 
 func newEntry(d *Daemon, config *tls.Config) *entry {
-	e := &entry{daemon: d, picker: newPicker(d.settings)}
+	e := &entry{daemon: d, picker: newPicker(d.settings, d.member)}
 	d.dialer = dialer.New(dialer.WithTLS(config), dialer.WithReport(func(report banyanplank.LoadReport) {
 		e.picker.Observe(time.Now(), report)
 	}))
