Limit rate and concurrency of accounts across entries

Cause: an account's limit has to hold over all entries, and a call to the object store for each request is out of the question.

Without news it falls back to even shares. Enforcing at the agents was weighed and dropped: a request of one account reaches any of hundreds of agents.

--- /dev/null
+++ b/coordination/limiter/doc.go
@@ -0,0 +1,20 @@
+// Package limiter holds the rate and the concurrency of each client account
+// within its limits across all entries, without a call to the object store.
+//
+// Each entry enforces a share of the limit. An eighth is split evenly, so that
+// an entry may always serve a little without telling anyone. The rest follows
+// the demand that the entries tell each other of. Entries that do not hear
+// from their peers fall back to even shares.
+//
+//	l := limiter.New("entry-1")
+//	l.Renew(configuration, entries)
+//	if err := l.Take(now, account); err != nil {
+//		return err // a *banyanplank.Refusal
+//	}
+//	defer l.Give(account)
+//
+// Over any span the entries together admit at most the limit for the span,
+// plus one second of it, plus one request for each entry. In flight are at most
+// the limit and one more for each entry. When entries lose each other, each
+// may go on for 3 s as if it were alone.
+package limiter
