Bound retries by a share of the fresh requests

Cause: when a zone vanishes, every request that was meant for it is tried again elsewhere, and the retries may take down what is left.

Change: coordination/retrier allows a retry only for what did not run, or for what may run twice and was lost before the caller had any of it, within the deadline and a budget of a fifth of the fresh requests. Requests are not hedged.

Conclusion: in the rapid run retries never exceed the share and the burst.

--- /dev/null
+++ b/coordination/retrier/retrier.go
@@ -0,0 +1,164 @@
+// Package retrier decides whether and when an entry tries a request again at
+// another endpoint.
+//
+// Only a request that did not run, or one that may run twice and has given its
+// caller nothing yet, is tried again. Retries are bounded by a share of the
+// fresh requests, so that a failing zone does not multiply the load of the
+// others. What is not tried again gets its final answer at once.
+//
+//	r := retrier.New(rand.New(rand.NewPCG(seed, 0)))
+//	r.Fresh()
+//	delay, ok := r.Next(time.Now(), retrier.Attempt{Number: 1, Deadline: deadline}, err)
+//
+// Requests are never hedged. A second copy of a model request costs a whole
+// prefill and its memory when endpoints are short of both, and a copy of a
+// request that must not be repeated is forbidden.
+package retrier
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// The defaults of the options and the backoff.
+const (
+	// defaultShare is the retries that each fresh request allows.
+	defaultShare = 0.2
+	// defaultBurst is the most retries saved up.
+	defaultBurst = 50
+	// defaultAttempts bounds the attempts of one request, the first included.
+	defaultAttempts = 3
+	// firstDelay bounds the random delay before the second retry. The first
+	// goes to another endpoint without one.
+	firstDelay = 20 * time.Millisecond
+	// mostDelay bounds all delays.
+	mostDelay = 200 * time.Millisecond
+)
+
+// Attempt describes the attempt that has failed.
+type Attempt struct {
+	// Number counts the attempts of the request so far, this one included.
+	Number int
+	// Once tells that the request must not be repeated.
+	Once bool
+	// Begun tells that the caller has some of the answer.
+	Begun bool
+	// Deadline is when the caller gives up. Zero means never.
+	Deadline time.Time
+}
+
+// Retrier holds the retry budget of one entry. Create it with [New]. Its
+// methods may be called from many goroutines.
+type Retrier struct {
+	share    float64
+	burst    float64
+	attempts int
+
+	mu     sync.Mutex
+	random *rand.Rand
+	budget float64
+}
+
+// Option configures a [Retrier].
+type Option func(*Retrier)
+
+// WithShare sets how many retries each fresh request allows. Larger hides more
+// failures and adds more load when many requests fail. The default is 0.2.
+func WithShare(share float64) Option {
+	return func(r *Retrier) { r.share = share }
+}
+
+// WithBurst sets how many retries may be saved up. The default is 50.
+func WithBurst(retries int) Option {
+	return func(r *Retrier) { r.burst = float64(retries) }
+}
+
+// WithAttempts bounds the attempts of one request, the first included. The
+// default is 3.
+func WithAttempts(count int) Option {
+	return func(r *Retrier) { r.attempts = count }
+}
+
+// New returns a retrier with a full budget. It draws delays from random.
+func New(random *rand.Rand, options ...Option) *Retrier {
+	r := &Retrier{share: defaultShare, burst: defaultBurst, attempts: defaultAttempts, random: random}
+	for _, option := range options {
+		option(r)
+	}
+	r.budget = r.burst
+	return r
+}
+
+// Fresh counts a request that is not a retry.
+func (r *Retrier) Fresh() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget = min(r.burst, r.budget+r.share)
+}
+
+// Next tells after which delay to try again, or that err is final. A retry
+// that it allows is taken from the budget.
+func (r *Retrier) Next(now time.Time, attempt Attempt, err error) (delay time.Duration, ok bool) {
+	if attempt.Number >= r.attempts || !mayRepeat(attempt, err) {
+		return 0, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delay = r.delay(attempt.Number)
+	if !attempt.Deadline.IsZero() && !now.Add(delay).Before(attempt.Deadline) {
+		return 0, false
+	}
+	if r.budget < 1 {
+		return 0, false
+	}
+	r.budget--
+	return delay, true
+}
+
+// delay draws the delay after an attempt.
+func (r *Retrier) delay(number int) time.Duration {
+	if number <= 1 {
+		return 0
+	}
+	most := min(mostDelay, firstDelay<<min(number-2, 10))
+	return time.Duration(r.random.Int64N(int64(most)))
+}
+
+// mayRepeat reports whether another endpoint may get the request.
+func mayRepeat(attempt Attempt, err error) bool {
+	var refusal *banyanplank.Refusal
+	if !errors.As(err, &refusal) || attempt.Begun {
+		return false
+	}
+	switch refusal.Outcome {
+	case banyanplank.NotRun:
+		return isElsewhere(refusal.Reason)
+	case banyanplank.OutcomeUnknown:
+		return !attempt.Once && isLost(refusal.Reason)
+	default:
+		return false
+	}
+}
+
+// isElsewhere reports whether another endpoint could run what one refused for
+// the reason.
+func isElsewhere(reason banyanplank.Reason) bool {
+	switch reason {
+	case banyanplank.ReasonOverload, banyanplank.ReasonDeadline, banyanplank.ReasonZoneOut,
+		banyanplank.ReasonLeaving, banyanplank.ReasonUnreachable, banyanplank.ReasonEndpoint,
+		banyanplank.ReasonStale:
+		return true
+	default:
+		return false
+	}
+}
+
+// isLost reports whether the reason is the loss of the agent or the endpoint.
+func isLost(reason banyanplank.Reason) bool {
+	return reason == banyanplank.ReasonUnreachable || reason == banyanplank.ReasonEndpoint
+}
--- /dev/null
+++ b/coordination/retrier/retrier_test.go
@@ -0,0 +1,95 @@
+package retrier_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/retrier"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newRetrier(options ...retrier.Option) *retrier.Retrier {
+	return retrier.New(rand.New(rand.NewPCG(1, 2)), options...)
+}
+
+func refusal(outcome banyanplank.Outcome, reason banyanplank.Reason) error {
+	return errors.Wrap(&banyanplank.Refusal{Outcome: outcome, Reason: reason}, "attempt")
+}
+
+func TestNext(t *testing.T) {
+	notRun, unknown := banyanplank.NotRun, banyanplank.OutcomeUnknown
+	tests := map[string]struct {
+		attempt retrier.Attempt
+		err     error
+		want    bool
+	}{
+		"not run":            {retrier.Attempt{Number: 1}, refusal(notRun, banyanplank.ReasonOverload), true},
+		"not run, once":      {retrier.Attempt{Number: 1, Once: true}, refusal(notRun, banyanplank.ReasonUnreachable), true},
+		"unknown":            {retrier.Attempt{Number: 1}, refusal(unknown, banyanplank.ReasonEndpoint), true},
+		"unknown, once":      {retrier.Attempt{Number: 1, Once: true}, refusal(unknown, banyanplank.ReasonEndpoint), false},
+		"unknown, begun":     {retrier.Attempt{Number: 1, Begun: true}, refusal(unknown, banyanplank.ReasonEndpoint), false},
+		"canceled":           {retrier.Attempt{Number: 1}, refusal(unknown, banyanplank.ReasonCanceled), false},
+		"ran":                {retrier.Attempt{Number: 1}, refusal(banyanplank.Ran, banyanplank.ReasonConflict), false},
+		"limit":              {retrier.Attempt{Number: 1}, refusal(notRun, banyanplank.ReasonLimit), false},
+		"suspect":            {retrier.Attempt{Number: 1}, refusal(notRun, banyanplank.ReasonSuspect), false},
+		"invalid":            {retrier.Attempt{Number: 1}, refusal(notRun, banyanplank.ReasonInvalid), false},
+		"no endpoint":        {retrier.Attempt{Number: 1}, refusal(notRun, banyanplank.ReasonNoEndpoint), false},
+		"too many":           {retrier.Attempt{Number: 3}, refusal(notRun, banyanplank.ReasonOverload), false},
+		"deadline in time":   {retrier.Attempt{Number: 1, Deadline: epoch.Add(1)}, refusal(notRun, banyanplank.ReasonOverload), true},
+		"deadline has gone":  {retrier.Attempt{Number: 1, Deadline: epoch}, refusal(notRun, banyanplank.ReasonOverload), false},
+		"some other failure": {retrier.Attempt{Number: 1}, errors.New("bad"), false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, ok := newRetrier().Next(epoch, test.attempt, test.err)
+			is.Equal(ok, test.want)
+		})
+	}
+}
+
+func TestDelaysAreRandomAndBounded(t *testing.T) {
+	is := is.New(t)
+	r := newRetrier(retrier.WithAttempts(100))
+	failed := refusal(banyanplank.NotRun, banyanplank.ReasonOverload)
+	delay, ok := r.Next(epoch, retrier.Attempt{Number: 1}, failed)
+	is.True(ok)
+	is.Equal(delay, time.Duration(0))
+	distinct := map[time.Duration]bool{}
+	for number := 2; number < 40; number++ {
+		delay, ok := r.Next(epoch, retrier.Attempt{Number: number}, failed)
+		is.True(ok)
+		is.True(delay < 200*time.Millisecond)
+		distinct[delay] = true
+	}
+	is.True(len(distinct) > 30)
+}
+
+// TestBudget checks that retries stay within their share however requests
+// fail, as when a whole zone vanishes.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRetrier(retrier.WithShare(0.25), retrier.WithBurst(10), retrier.WithAttempts(1000))
+		failed := refusal(banyanplank.NotRun, banyanplank.ReasonUnreachable)
+		fresh, retries := 0, 0
+		for range rapid.IntRange(0, 300).Draw(t, "requests") {
+			r.Fresh()
+			fresh++
+			for number := range rapid.IntRange(0, 10).Draw(t, "failures") {
+				if _, ok := r.Next(epoch, retrier.Attempt{Number: number + 1}, failed); ok {
+					retries++
+				}
+			}
+		}
+		if bound := 10 + float64(fresh)/4; float64(retries) > bound {
+			t.Fatalf("%d retries of %d requests, bound %.1f", retries, fresh, bound)
+		}
+	})
+}
