Count calls by service and client account for the burn report

Cause: operators need to see how fast each service burns its budget, by client account, without memory that grows with the accounts. Change: state/tallier counts in minute, five-minute and hour buckets.

--- /dev/null
+++ b/state/tallier/encoding.go
@@ -0,0 +1,105 @@
+package tallier
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// document is the JSON form of a [Tally]. Cells refer to names by their
+// place, which keeps three days of counts small.
+type document struct {
+	Daemon      banyanplank.DaemonID    `json:"daemon"`
+	Incarnation banyanplank.Incarnation `json:"incarnation"`
+	Zone        banyanplank.Zone        `json:"zone"`
+	At          time.Time               `json:"at"`
+	Whole       bool                    `json:"whole"`
+	Names       []string                `json:"names"`
+	Buckets     []section               `json:"buckets"`
+}
+
+// section is the JSON form of a [Bucket].
+type section struct {
+	// Start is in seconds since the Unix epoch, and Span in seconds.
+	Start int64 `json:"start"`
+	Span  int64 `json:"span"`
+	Cells []row `json:"cells"`
+}
+
+// row is the JSON form of a [Cell]: the places of service and account, then
+// calls, failed and slow.
+type row [5]uint64
+
+// MarshalJSON implements [json.Marshaler].
+func (t Tally) MarshalJSON() (text []byte, err error) {
+	d := document{
+		Daemon:      t.Daemon,
+		Incarnation: t.Incarnation,
+		Zone:        t.Zone,
+		At:          t.At,
+		Whole:       t.Whole,
+	}
+	places := make(map[string]uint64)
+	place := func(name string) uint64 {
+		index, ok := places[name]
+		if !ok {
+			index = uint64(len(d.Names))
+			places[name] = index
+			d.Names = append(d.Names, name)
+		}
+		return index
+	}
+	for _, b := range t.Buckets {
+		s := section{Start: b.Start.Unix(), Span: int64(b.Span / time.Second)}
+		for _, c := range b.Cells {
+			s.Cells = append(s.Cells, row{place(string(c.Service)), place(string(c.Account)), c.Calls, c.Failed, c.Slow})
+		}
+		d.Buckets = append(d.Buckets, s)
+	}
+	return json.Marshal(d)
+}
+
+// UnmarshalJSON implements [json.Unmarshaler].
+func (t *Tally) UnmarshalJSON(text []byte) (err error) {
+	defer func() { err = errors.Wrap(err, "decode tally") }()
+	var d document
+	err = json.Unmarshal(text, &d)
+	if err != nil {
+		return err
+	}
+	decoded := Tally{Daemon: d.Daemon, Incarnation: d.Incarnation, Zone: d.Zone, At: d.At, Whole: d.Whole}
+	for _, s := range d.Buckets {
+		bucket, err := s.bucket(d.Names)
+		if err != nil {
+			return err
+		}
+		decoded.Buckets = append(decoded.Buckets, bucket)
+	}
+	*t = decoded
+	return nil
+}
+
+// spans are the resolutions that a bucket may have.
+var spans = []time.Duration{Minute, FiveMinutes, Hour}
+
+// bucket turns a section back into a bucket.
+func (s section) bucket(names []string) (bucket Bucket, err error) {
+	bucket = Bucket{Start: time.Unix(s.Start, 0).UTC(), Span: time.Duration(s.Span) * time.Second}
+	if !slices.Contains(spans, bucket.Span) || !bucket.Start.Equal(bucket.Start.Truncate(bucket.Span)) {
+		return Bucket{}, errors.Newf("bucket of %d s at %d is of no known resolution", s.Span, s.Start)
+	}
+	for _, r := range s.Cells {
+		if max(r[0], r[1]) >= uint64(len(names)) {
+			return Bucket{}, errors.Newf("cell refers to name %d of %d", max(r[0], r[1]), len(names))
+		}
+		bucket.Cells = append(bucket.Cells, Cell{
+			Pair:   Pair{Service: banyanplank.ServiceName(names[r[0]]), Account: banyanplank.AccountID(names[r[1]])},
+			Counts: Counts{Calls: r[2], Failed: r[3], Slow: r[4]},
+		})
+	}
+	return bucket, nil
+}
