--- /dev/null
+++ b/coordination/flusher/reading.go
@@ -0,0 +1,53 @@
+package flusher
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/state/tallier"
+)
+
+// Stored returns all stored tallies in one call. Damaged counts the objects
+// that cannot be decoded.
+func Stored(ctx context.Context, store banyanplank.ObjectStore) (tallies []tallier.Tally, damaged int, err error) {
+	defer func() { err = errors.Wrap(err, "read stored tallies") }()
+	objects, err := store.List(ctx, Prefix)
+	if err != nil {
+		return nil, 0, err
+	}
+	for _, object := range objects {
+		var tally tallier.Tally
+		if json.Unmarshal(object.Value, &tally) != nil {
+			damaged++
+			continue
+		}
+		tallies = append(tallies, tally)
+	}
+	return tallies, damaged, nil
+}
+
+// Sweep removes the objects that no report reads any more. A daemon that
+// writes its object meanwhile keeps it.
+func Sweep(ctx context.Context, store banyanplank.ObjectStore, now time.Time) (err error) {
+	defer func() { err = errors.Wrap(err, "sweep stored tallies") }()
+	objects, err := store.List(ctx, Prefix)
+	if err != nil {
+		return err
+	}
+	for _, object := range objects {
+		var tally tallier.Tally
+		decodeErr := json.Unmarshal(object.Value, &tally)
+		if decodeErr == nil && now.Sub(tally.At) < keepUnused {
+			continue
+		}
+		deleteErr := store.Delete(ctx, object.Name, object.Version)
+		if deleteErr != nil && !errors.Is(deleteErr, banyanplank.ErrConflict) && !errors.Is(deleteErr, banyanplank.ErrNotFound) {
+			return deleteErr
+		}
+	}
+	return nil
+}
--- a/state/tallier/encoding.go
+++ b/state/tallier/encoding.go
@@ -96,6 +96,9 @@
 		if max(r[0], r[1]) >= uint64(len(names)) {
 			return Bucket{}, errors.Newf("cell refers to name %d of %d", max(r[0], r[1]), len(names))
 		}
+		if r[3]+r[4] > r[2] {
+			return Bucket{}, errors.Newf("cell counts %d failed and %d slow of %d calls", r[3], r[4], r[2])
+		}
 		bucket.Cells = append(bucket.Cells, Cell{
 			Pair:   Pair{Service: banyanplank.ServiceName(names[r[0]]), Account: banyanplank.AccountID(names[r[1]])},
 			Counts: Counts{Calls: r[2], Failed: r[3], Slow: r[4]},
--- a/state/tallier/tallier_test.go
+++ b/state/tallier/tallier_test.go
@@ -184,6 +184,7 @@
 		"missing name":  `{"names":["a"],"buckets":[{"start":0,"span":60,"cells":[[0,1,1,0,0]]}]}`,
 		"unknown span":  `{"buckets":[{"start":0,"span":61}]}`,
 		"unaligned":     `{"buckets":[{"start":1,"span":60}]}`,
+		"too many bad":  `{"names":["a"],"buckets":[{"start":0,"span":60,"cells":[[0,0,1,1,1]]}]}`,
 		"negative cell": `{"names":["a"],"buckets":[{"start":0,"span":60,"cells":[[0,0,-1,0,0]]}]}`,
 	}
 	for name, text := range cases {
