--- a/coordination/aggregator/aggregator.go
+++ b/coordination/aggregator/aggregator.go
@@ -11,6 +11,7 @@
 package aggregator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -146,7 +147,7 @@
 	if len(report.Tokens) == 0 {
 		return nil
 	}
-	if _, ok := a.mapOf(report.Map); !ok {
+	if a.indexOf(report.Map) < 0 {
 		return errors.Newf("counts for unknown map %d, current is %d", report.Map, current.ID)
 	}
 	if want := current.Shape.Layers * current.Shape.Slots; len(report.Tokens) != want {
@@ -164,14 +165,9 @@
 	return nil
 }
 
-// mapOf returns the current or former map with the id.
-func (a *Aggregator) mapOf(id banyanplank.MapID) (m banyanplank.ExpertMap, ok bool) {
-	for _, m := range a.maps {
-		if m.ID == id {
-			return m, true
-		}
-	}
-	return banyanplank.ExpertMap{}, false
+// indexOf returns the position of the map with the id, or -1.
+func (a *Aggregator) indexOf(id banyanplank.MapID) (index int) {
+	return slices.IndexFunc(a.maps, func(m banyanplank.ExpertMap) bool { return m.ID == id })
 }
 
 // count takes in the token counts of a report.
--- /dev/null
+++ b/coordination/aggregator/main_test.go
@@ -0,0 +1,17 @@
+package aggregator_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the random checks unless the command line gives
+// one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		_ = seed.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
--- a/coordination/aggregator/round.go
+++ b/coordination/aggregator/round.go
@@ -68,7 +68,7 @@
 func (a *Aggregator) Round(now time.Time) (popularity banyanplank.Popularity, err error) {
 	shape := a.maps[0].Shape
 	popularity = banyanplank.Popularity{Shape: shape, Tokens: make([]float32, shape.Layers*shape.Experts)}
-	sums := newSums(shape)
+	sums := newSums(shape, len(a.maps))
 	for layer := range shape.Layers {
 		a.sumLayer(now, layer, sums)
 		popularity.Sudden = a.foldLayer(now, layer, sums) || popularity.Sudden
@@ -90,49 +90,62 @@
 
 // sums holds what the ranks reported of the experts of one layer.
 type sums struct {
-	rate []float32
-	// fresh counts the replicas with a fresh report, all those of the map.
-	fresh []uint16
-	all   []uint16
+	// demand is the sum of what each fresh replica tells of its expert's
+	// demand, fresh the number of those replicas.
+	demand []float32
+	fresh  []uint16
+	// replicas counts the replicas of each expert, by map.
+	replicas [][]uint16
 }
 
-// newSums returns sums for layers of the shape.
-func newSums(shape banyanplank.MapShape) *sums {
-	return &sums{
-		rate:  make([]float32, shape.Experts),
-		fresh: make([]uint16, shape.Experts),
-		all:   make([]uint16, shape.Experts),
+// newSums returns sums for layers of the shape under some maps.
+func newSums(shape banyanplank.MapShape, maps int) *sums {
+	s := &sums{
+		demand: make([]float32, shape.Experts),
+		fresh:  make([]uint16, shape.Experts),
 	}
+	for range maps {
+		s.replicas = append(s.replicas, make([]uint16, shape.Experts))
+	}
+	return s
 }
 
 // sumLayer adds up the fresh reports of one layer. The replicas of an expert
-// carry even shares, so the silent ones are taken to carry what the others do.
+// carry even shares under the map that they were counted under, so each tells
+// the demand for the expert, and the silent ones aren't missed.
 func (a *Aggregator) sumLayer(now time.Time, layer int, s *sums) {
-	clear(s.rate)
+	clear(s.demand)
 	clear(s.fresh)
-	clear(s.all)
-	shape := a.maps[0].Shape
+	for i, m := range a.maps {
+		countReplicas(m.Layer(layer), s.replicas[i])
+	}
+	slots := a.maps[0].Shape.Slots
 	for rank := range a.ranks {
 		r := &a.ranks[rank]
-		m, ok := a.mapOf(r.mapID)
-		fresh := ok && r.rates != nil && now.Sub(r.counted) <= a.fresh
-		if !fresh {
-			m = a.maps[0]
+		at := a.indexOf(r.mapID)
+		if at < 0 || r.rates == nil || now.Sub(r.counted) > a.fresh {
+			continue
 		}
-		for slot := range shape.Slots {
-			e := m.Places[m.Index(layer, rank, slot)]
-			if e == banyanplank.NoExpert {
-				continue
-			}
-			s.all[e]++
-			if fresh {
+		places := a.maps[at].Layer(layer)[rank*slots : (rank+1)*slots]
+		for slot, e := range places {
+			if e != banyanplank.NoExpert {
 				s.fresh[e]++
-				s.rate[e] += r.rates[layer*shape.Slots+slot]
+				s.demand[e] += r.rates[layer*slots+slot] * float32(s.replicas[at][e])
 			}
 		}
 	}
 }
 
+// countReplicas counts the replicas of each expert in a layer.
+func countReplicas(places []uint16, replicas []uint16) {
+	clear(replicas)
+	for _, e := range places {
+		if e != banyanplank.NoExpert {
+			replicas[e]++
+		}
+	}
+}
+
 // foldLayer takes the sums of one layer into the estimates. It reports whether
 // some demand has jumped.
 func (a *Aggregator) foldLayer(now time.Time, layer int, s *sums) (sudden bool) {
@@ -157,7 +170,7 @@
 
 // observed returns the demand that the fresh reports tell of an expert.
 func (s *sums) observed(expert int) float32 {
-	return s.rate[expert] * float32(s.all[expert]) / float32(s.fresh[expert])
+	return s.demand[expert] / float32(s.fresh[expert])
 }
 
 // deviation returns the size of what counts as noise.
--- a/coordination/switcher/gate.go
+++ b/coordination/switcher/gate.go
@@ -98,9 +98,7 @@
 		}
 		return commands
 	}
-	if msg.Order.Fence > g.fence {
-		g.fence, g.serial = msg.Order.Fence, 0
-	}
+	g.raise(msg.Order.Fence)
 	if err := g.judge(msg); err != nil {
 		return []banyanplank.Command{AnswerCmd{Call: msg.Call, Err: err}}
 	}
@@ -133,7 +131,14 @@
 		return
 	}
 	g.learned = true
-	g.fence = max(g.fence, msg.Record.Fence)
+	g.raise(msg.Record.Fence)
+}
+
+// raise takes note of a later fencing number, whose orders count from one.
+func (g *Gate) raise(fence uint64) {
+	if fence > g.fence {
+		g.fence, g.serial = fence, 0
+	}
 }
 
 // takeAnswer answers the call whose order the endpoint has taken.
--- a/coordination/switcher/scenario_test.go
+++ b/coordination/switcher/scenario_test.go
@@ -269,6 +269,7 @@
 		"wrong map":                    {[]banyanplank.Msg{learned}, switcher.OrderMsg{Serial: 1, Order: banyanplank.Order{Kind: banyanplank.OrderPrepare, Fence: 8}}, wrong},
 		"fence of refused order binds": {[]banyanplank.Msg{learned, abort(8, 1), abort(9, 1), switcher.EndpointMsg{}}, abort(8, 2), switcher.ErrOldFence},
 		"later order passes":           {[]banyanplank.Msg{learned, abort(8, 1), switcher.EndpointMsg{}}, abort(8, 2), nil},
+		"record read late begins anew": {[]banyanplank.Msg{learned, abort(8, 5), switcher.EndpointMsg{}, switcher.RecordMsg{Record: switcher.Record{Fence: 9}}}, abort(9, 1), nil},
 		"later fence begins anew":      {[]banyanplank.Msg{learned, abort(8, 5), switcher.EndpointMsg{}}, abort(9, 1), nil},
 	}
 	for name, test := range tests {
