--- a/coordination/planner/layer.go
+++ b/coordination/planner/layer.go
@@ -22,6 +22,11 @@
 	load []float64
 	// changed is scratch space for the loads that a change would make.
 	changed []change
+	// order, light and next are scratch space of the search: the ranks by
+	// time, the experts by the load of their next replica, and that load.
+	order []int
+	light []uint16
+	next  []float64
 }
 
 // change is the load that one rank would have.
--- a/coordination/planner/search.go
+++ b/coordination/planner/search.go
@@ -69,20 +69,24 @@
 	order := l.byTime()
 	l.tryReplicas(&best, rank, peak, mean, order)
 	l.tryReplacements(&best, rank, peak, mean)
-	l.trySwaps(&best, rank, peak, mean)
+	l.trySwaps(&best, rank, peak, mean, order)
 	return best
 }
 
-// byTime returns the usable ranks, least time first.
+// byTime returns the usable ranks, least time first. The order is kept from
+// call to call, because sorting what is nearly sorted is cheap.
 func (l *layer) byTime() (order []int) {
-	order = make([]int, 0, len(l.load))
-	for r := range l.load {
-		if !l.ranks.excluded[r] {
-			order = append(order, r)
+	if l.order == nil {
+		for r := range l.load {
+			if !l.ranks.excluded[r] {
+				l.order = append(l.order, r)
+			}
 		}
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(l.time(a), l.time(b)) })
-	return order
+	slices.SortFunc(l.order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(l.time(a), l.time(b)), a-b)
+	})
+	return l.order
 }
 
 // tryReplicas tries to give an expert of rank another replica on a light rank.
@@ -106,12 +110,11 @@
 
 // tryReplacements tries to replace a spare replica on rank by a light expert.
 func (l *layer) tryReplacements(best *candidate, rank int, peak, mean float64) {
-	light := l.lightExperts()
 	for slot := range l.slots {
 		if !l.isSpare(rank, slot) {
 			continue
 		}
-		for _, e := range light {
+		for _, e := range l.lightExperts() {
 			if !l.holds(rank, e) {
 				l.tryPut(best, rank, slot, e, peak, mean)
 			}
@@ -121,13 +124,20 @@
 
 // lightExperts returns the experts whose next replica would carry least.
 func (l *layer) lightExperts() (light []uint16) {
-	light = make([]uint16, l.experts)
-	for e := range light {
-		light[e] = uint16(e)
+	if l.light == nil {
+		l.light = make([]uint16, l.experts)
+		l.next = make([]float64, l.experts)
+		for e := range l.light {
+			l.light[e] = uint16(e)
+		}
+	}
+	for e := range l.next {
+		l.next[e] = l.weight[e] / float64(len(l.homes[e])+1)
 	}
-	next := func(e uint16) float64 { return l.weight[e] / float64(len(l.homes[e])+1) }
-	slices.SortStableFunc(light, func(a, b uint16) int { return cmp.Compare(next(a), next(b)) })
-	return light[:min(lowest, len(light))]
+	slices.SortFunc(l.light, func(a, b uint16) int {
+		return cmp.Or(cmp.Compare(l.next[a], l.next[b]), int(a)-int(b))
+	})
+	return l.light[:min(lowest, len(l.light))]
 }
 
 // tryPut keeps the write as best if it relieves more than the best so far.
@@ -151,17 +161,20 @@
 	return l.ranks.isApart(l.homes[expert], rank, -1)
 }
 
-// trySwaps tries to exchange an expert of rank with a lighter one elsewhere.
-func (l *layer) trySwaps(best *candidate, rank int, peak, mean float64) {
-	for slot := range l.slots {
-		e := l.at(rank, slot)
-		if e == banyanplank.NoExpert {
+// trySwaps tries to exchange an expert of rank with a lighter one elsewhere,
+// on the lightest ranks first. It leaves out the ranks with which no exchange
+// could relieve more than the best change so far.
+func (l *layer) trySwaps(best *candidate, rank int, peak, mean float64, order []int) {
+	for _, to := range order {
+		if to == rank {
 			continue
 		}
-		for to := range l.load {
-			if to == rank || l.ranks.excluded[to] || l.time(to) >= peak {
-				continue
-			}
+		even := (l.load[rank] + l.load[to]) / (l.ranks.speed[rank] + l.ranks.speed[to])
+		limit := (peak - max(mean, even)) / 2
+		if limit <= peak*improvement || (best.ok && limit <= best.score) {
+			continue
+		}
+		for slot := range l.slots {
 			for other := range l.slots {
 				l.trySwap(best, rank, slot, to, other, peak, mean)
 			}
@@ -173,7 +186,7 @@
 // than the best so far.
 func (l *layer) trySwap(best *candidate, rank, slot, to, other int, peak, mean float64) {
 	e, f := l.at(rank, slot), l.at(to, other)
-	if f == banyanplank.NoExpert || e == f {
+	if e == banyanplank.NoExpert || f == banyanplank.NoExpert || e == f {
 		return
 	}
 	delta := l.share(int(e)) - l.share(int(f))
