--- a/transport/listener/listener_test.go
+++ b/transport/listener/listener_test.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		return 0, err
 	}
-	defer answer.Close()
+	defer func() { _ = answer.Close() }()
 	if _, err := answer.Begin(); err != nil {
 		return 0, err
 	}
