Bound what is held of request bodies, and the kernel's share of answers

Cause: bodies toward slow endpoints were bounded one by one only, and the kernel takes megabytes for a caller on loopback who does not read. Change: bodies take room from the budgets of account and daemon, at the entry while they arrive and at the agent while they run; without room the call is refused as not run, with the agent's promise where it may not be repeated. The kernel's buffer toward a caller is 16 KiB.

--- a/coordination/runner/runner.go
+++ b/coordination/runner/runner.go
@@ -203,7 +203,18 @@
 	if request.Offset > 0 && !request.Resumable() {
 		return nil, refuse(banyanplank.NotRun, banyanplank.ReasonInvalid, "The answer cannot be resumed at another endpoint.")
 	}
-	return r.launch(key, request, r.holder.Open(request.Account)), nil
+	room := r.holder.Reserve(request.Account)
+	if !room.Grow(len(request.Body)) {
+		room.Release()
+		return nil, crowded()
+	}
+	return r.launch(key, request, r.holder.Open(request.Account), room), nil
+}
+
+// crowded refuses a request whose body finds no room.
+func crowded() (refusal *banyanplank.Refusal) {
+	return refuse(banyanplank.NotRun, banyanplank.ReasonLimit,
+		"The requests and answers held at the agent fill the memory set aside for them.")
 }
 
 // joinOnce asks the record of a non-repeatable request what to do with it.
@@ -214,7 +225,7 @@
 	stream := r.holder.Open(request.Account)
 	start, earlier, err := r.recorder.Begin(time.Now(), request.OnceKey(), request.Binding, stream)
 	if start {
-		return r.launch(key, request, stream), nil
+		return r.launchOnce(key, request, stream)
 	}
 	stream.Drop()
 	if err != nil {
@@ -223,9 +234,23 @@
 	return &session{runner: r, request: request, call: request.CallDigest(), stream: earlier, followers: 1, guest: true}, nil
 }
 
+// launchOnce starts the session of a non-repeatable request, or promises never
+// to run it when its body finds no room.
+func (r *Runner) launchOnce(key sessionKey, request *banyanplank.Request, stream *holder.Stream) (s *session, err error) {
+	room := r.holder.Reserve(request.Account)
+	if !room.Grow(len(request.Body)) {
+		room.Release()
+		stream.Drop()
+		refusal := crowded()
+		r.recorder.Release(request.OnceKey(), request.Binding.Generation, refusal)
+		return nil, refusal
+	}
+	return r.launch(key, request, stream, room), nil
+}
+
 // launch starts a new session with one follower. What may not be repeated runs
 // from its first part on, however much of it the caller asks for.
-func (r *Runner) launch(key sessionKey, request *banyanplank.Request, stream *holder.Stream) (s *session) {
+func (r *Runner) launch(key sessionKey, request *banyanplank.Request, stream *holder.Stream, room *holder.Reservation) (s *session) {
 	if request.Once {
 		whole := *request
 		whole.Offset = 0
@@ -242,6 +267,7 @@
 		followers: 1,
 		cancel:    cancel,
 		done:      make(chan struct{}),
+		room:      room,
 	}
 	r.sessions[key] = s
 	r.running++
--- a/coordination/runner/session.go
+++ b/coordination/runner/session.go
@@ -18,6 +18,8 @@
 	request *banyanplank.Request
 	call    banyanplank.Digest
 	stream  *holder.Stream
+	// room is held for the request's body.
+	room *holder.Reservation
 	// first is the offset of the first part that the stream holds.
 	first uint64
 	// cancel ends the wait for admission, and the run if it may be repeated.
@@ -243,6 +245,7 @@
 	defer r.mu.Unlock()
 	close(s.done)
 	s.ended = true
+	s.room.Release()
 	s.stop()
 	r.running--
 	keep := r.keep
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -34,6 +34,7 @@
 		receiver.WithBody(d.settings.Limits.Body),
 		receiver.WithTimeout(time.Duration(d.settings.Limits.Timeout)),
 		receiver.WithReady(e.ready),
+		receiver.WithBodies(newHolder(d)),
 	)
 	e.server = receiver.NewServer(e.count(handler))
 	return e
--- a/state/holder/holder.go
+++ b/state/holder/holder.go
@@ -159,6 +159,11 @@
 	if !h.fitsStream(s, bytes) {
 		s.trim()
 	}
+	return h.fitsStream(s, bytes) && h.reserveShared(s, bytes)
+}
+
+// reserveShared finds room in the budgets of the account and the daemon.
+func (h *Holder) reserveShared(s *Stream, bytes int) bool {
 	if !h.fitsAccount(s, bytes) {
 		s.account.trim()
 	}
@@ -167,7 +172,7 @@
 			a.trim()
 		}
 	}
-	return h.fitsStream(s, bytes) && h.fitsAccount(s, bytes) && h.fitsDaemon(s, bytes)
+	return h.fitsAccount(s, bytes) && h.fitsDaemon(s, bytes)
 }
 
 // largest returns the size of the largest part that any stream can take.
--- a/state/holder/holder_test.go
+++ b/state/holder/holder_test.go
@@ -239,3 +239,19 @@
 	b.ReportMetric(float64(len(event(0))), "framed-B/token")
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/tokens, "ns/token")
 }
+
+// TestReservationsShareTheBudget fills an account with bodies.
+func TestReservationsShareTheBudget(t *testing.T) {
+	is := is.New(t)
+	h := holder.New(holder.WithAccountBytes(64 << 10))
+	first, second := h.Reserve("himal"), h.Reserve("himal")
+	is.True(first.Grow(60 << 10))
+	is.True(!second.Grow(10 << 10))
+	is.True(h.Reserve("saddle").Grow(10 << 10))
+	first.Release()
+	first.Release()
+	is.True(second.Grow(10 << 10))
+	second.Release()
+	is.True(!second.Grow(1))
+	is.Equal(h.AccountBytes("himal"), 0)
+}
--- a/transport/receiver/parse.go
+++ b/transport/receiver/parse.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/state/holder"
 )
 
 // bytesPerToken estimates the length of a prompt from its JSON text.
@@ -43,18 +44,22 @@
 }
 
 // read builds the request of any call, without its service and demand.
-func (r *Receiver) read(w http.ResponseWriter, incoming *http.Request) (request *banyanplank.Request, err error) {
+// Its body is held under the returned reservation, which the caller must
+// release.
+func (r *Receiver) read(w http.ResponseWriter, incoming *http.Request) (request *banyanplank.Request, room *holder.Reservation, err error) {
 	account, err := r.authenticate(incoming)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	timeout, err := r.patience(incoming)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	body, err := r.readBody(w, incoming)
+	room = r.bodies.Reserve(account.Name)
+	body, err := r.readBody(w, incoming, room)
 	if err != nil {
-		return nil, err
+		room.Release()
+		return nil, nil, err
 	}
 	view := r.keeper.View()
 	return &banyanplank.Request{
@@ -67,7 +72,7 @@
 		Deadline: time.Now().Add(timeout),
 		Priority: account.Priority,
 		Revision: view.Configuration.Revision,
-	}, nil
+	}, room, nil
 }
 
 // patience returns how long the caller waits.
@@ -84,12 +89,18 @@
 }
 
 // readBody reads the whole body within the limits of size and time.
-func (r *Receiver) readBody(w http.ResponseWriter, incoming *http.Request) (body []byte, err error) {
+func (r *Receiver) readBody(w http.ResponseWriter, incoming *http.Request, room *holder.Reservation) (body []byte, err error) {
 	control := http.NewResponseController(w)
 	if err := control.SetReadDeadline(time.Now().Add(BodyTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, invalid("the connection takes no deadline")
 	}
-	body, err = io.ReadAll(http.MaxBytesReader(w, incoming.Body, r.body))
+	body, err = io.ReadAll(&roomReader{reader: http.MaxBytesReader(w, incoming.Body, r.body), room: room})
+	if errors.Is(err, errNoRoom) {
+		return nil, &banyanplank.Refusal{
+			Outcome: banyanplank.NotRun, Reason: banyanplank.ReasonLimit, RetryAfter: time.Second,
+			Detail: "the request bodies held for this client account, or for all, fill the memory set aside for them",
+		}
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, invalid(fmt.Sprintf("the body is larger than %d bytes", r.body))
@@ -178,3 +189,21 @@
 func refused(reason banyanplank.Reason, detail string) error {
 	return &banyanplank.Refusal{Outcome: banyanplank.NotRun, Reason: reason, Detail: detail}
 }
+
+// errNoRoom means that the budgets for bodies have no room.
+var errNoRoom = errors.New("no room for the body")
+
+// roomReader takes room for what it reads.
+type roomReader struct {
+	reader io.Reader
+	room   *holder.Reservation
+}
+
+// Read implements [io.Reader].
+func (r *roomReader) Read(buffer []byte) (n int, err error) {
+	n, err = r.reader.Read(buffer)
+	if !r.room.Grow(n) {
+		return 0, errNoRoom
+	}
+	return n, err
+}
--- a/transport/receiver/receiver.go
+++ b/transport/receiver/receiver.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"math"
+	"net"
 	"net/http"
 	"time"
 
@@ -11,6 +13,7 @@
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/claimer"
 	"github.com/banyanplank/banyanplank/coordination/forwarder"
+	"github.com/banyanplank/banyanplank/state/holder"
 	"github.com/banyanplank/banyanplank/state/keeper"
 )
 
@@ -50,6 +53,8 @@
 	HeaderTimeout = 5 * time.Second
 	// BodyTimeout bounds the time to read the request body.
 	BodyTimeout = 30 * time.Second
+	// CallerBuffer bounds what the kernel holds for one caller, in bytes.
+	CallerBuffer = 16 << 10
 	// DefaultLongest is the longest answer, in tokens, when the caller states
 	// no limit.
 	DefaultLongest = 1024
@@ -65,6 +70,7 @@
 	ready      func() bool
 	body       int64
 	timeout    time.Duration
+	bodies     *holder.Holder
 	router     *httprouter.Router
 }
 
@@ -76,6 +82,12 @@
 	return func(r *Receiver) { r.body = limit }
 }
 
+// WithBodies bounds the request bodies that are held at a time by the budgets
+// of bodies. Use it in every entry. The default bounds each body alone.
+func WithBodies(bodies *holder.Holder) Option {
+	return func(r *Receiver) { r.bodies = bodies }
+}
+
 // WithTimeout sets the patience of callers that state none. The default is two
 // minutes.
 func WithTimeout(timeout time.Duration) Option {
@@ -111,6 +123,7 @@
 		ready:      func() bool { return true },
 		body:       DefaultBody,
 		timeout:    DefaultTimeout,
+		bodies:     holder.New(holder.WithDaemonBytes(math.MaxInt), holder.WithAccountBytes(math.MaxInt)),
 	}
 	for _, option := range options {
 		option(r)
@@ -150,5 +163,15 @@
 		ReadHeaderTimeout: HeaderTimeout,
 		MaxHeaderBytes:    HeaderLimit,
 		IdleTimeout:       time.Minute,
+		ConnContext:       boundBuffer,
+	}
+}
+
+// boundBuffer bounds what the kernel holds for a caller who reads slowly, so
+// that the rest of the answer stays with the agent, which holds it compactly.
+func boundBuffer(ctx context.Context, conn net.Conn) context.Context {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(CallerBuffer)
 	}
+	return ctx
 }
--- a/transport/receiver/serve.go
+++ b/transport/receiver/serve.go
@@ -95,14 +95,16 @@
 		writeRefusal(w, refused(banyanplank.ReasonStale, "this entry does not know the configuration yet"))
 		return
 	}
-	request, err := r.read(w, incoming)
-	if err == nil {
-		err = complete(request)
-	}
+	request, room, err := r.read(w, incoming)
 	if err != nil {
 		writeRefusal(w, err)
 		return
 	}
+	defer room.Release()
+	if err := complete(request); err != nil {
+		writeRefusal(w, err)
+		return
+	}
 	place, err := parseEventID(incoming.Header.Get(headerLastEvent), request)
 	if err != nil {
 		writeRefusal(w, err)
