--- a/cmd/banyanplankd/script_test.go
+++ b/cmd/banyanplankd/script_test.go
@@ -45,6 +45,14 @@
 //	request NAME METHOD PATH [KEY] make a plain call; prints status and body
 //	runs NAME KEY COUNT            check how often a server ran a key
 //	store down|up                  break or mend the platform
+//	fault ENGINE crash|freeze|thaw make an engine fall over, stall or go on
+//	stream ID ENTRY TOKENS [FROM]  start a streamed call and wait for its first
+//	                               token; FROM is a stream to resume
+//	streamed ID RESULT             wait for its end: "whole N" or "cut"
+//	resumed ID FROM TOKENS         check that two streams make one whole answer
+//	load ENTRY...                  call the entries all the time, as callers who
+//	                               take another entry when one refuses
+//	unload CUT                     stop that; check how many answers were cut
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:   "testdata/script",
@@ -60,6 +68,12 @@
 			"request":   makeRequest,
 			"runs":      checkRuns,
 			"store":     breakStore,
+			"fault":     breakEngine,
+			"stream":    startStream,
+			"streamed":  awaitStream,
+			"resumed":   checkResumed,
+			"load":      startLoad,
+			"unload":    stopLoad,
 		},
 	})
 }
@@ -74,13 +88,23 @@
 type world struct {
 	platform *platform.Platform
 	plains   map[string]*engine.Plain
+	engines  map[string]*engine.Engine
+	streams  map[string]*streamed
+	load     *load
 	group    conc.WaitGroup
 }
 
 type worldKey struct{}
 
 func setUp(env *testscript.Env) (err error) {
-	env.Values[worldKey{}] = &world{plains: make(map[string]*engine.Plain)}
+	w := &world{
+		plains:  make(map[string]*engine.Plain),
+		engines: make(map[string]*engine.Engine),
+		streams: make(map[string]*streamed),
+	}
+	env.Values[worldKey{}] = w
+	// Deferred functions run last to first: all that stops the group is later.
+	env.Defer(w.group.Wait)
 	return nil
 }
 
@@ -139,10 +163,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w := worldOf(ts)
 	w.group.Go(func() { e.Run(ctx) })
-	ts.Defer(func() {
-		cancel()
-		w.group.Wait()
-	})
+	ts.Defer(cancel)
+	w.engines[args[0]] = e
 	ts.Setenv(args[0], serveStandin(ts, e.Handler()))
 }
 
