Accept configurations as content-addressed shards under one conditional root

Cause: 50,000 client accounts fit neither one value of the object API nor one change, operators race, and a reply can be lost after its write took effect.

--- /dev/null
+++ b/state/sharder/sharder_test.go
@@ -0,0 +1,121 @@
+package sharder_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/state/sharder"
+)
+
+// manyAccounts returns a configuration with count accounts.
+func manyAccounts(count int) *banyanplank.Configuration {
+	c := &banyanplank.Configuration{
+		Zones:    []banyanplank.ZoneSpec{{Name: "z1", Region: "r1"}, {Name: "z2", Region: "r1"}},
+		Services: []banyanplank.ServiceSpec{{Name: "chat", Kind: banyanplank.ServiceModel}},
+	}
+	for i := range count {
+		c.Accounts = append(c.Accounts, banyanplank.AccountSpec{
+			Name: banyanplank.AccountID(fmt.Sprintf("account-%06d", i)), Key: fmt.Sprintf("%064x", i), Weight: 1 + i%3,
+		})
+	}
+	return c
+}
+
+// index returns the shards by name.
+func index(shards []sharder.Shard) map[sharder.Name][]byte {
+	values := map[sharder.Name][]byte{}
+	for _, s := range shards {
+		values[s.Name] = s.Value
+	}
+	return values
+}
+
+func TestSplitAndJoin(t *testing.T) {
+	tests := map[string]struct{ accounts, shards int }{
+		"none":    {0, 1},
+		"today":   {10, 1},
+		"middle":  {1000, 16},
+		"largest": {50_000, 512},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := manyAccounts(test.accounts)
+			root, shards, err := sharder.Split(c, sharder.Root{})
+			is.NoErr(err)
+			is.Equal(len(root.Accounts), test.shards)
+			for _, s := range shards {
+				is.True(len(s.Value) < banyanplank.MaxValue)
+			}
+			value, err := root.Encode()
+			is.NoErr(err)
+			is.True(len(value) < banyanplank.MaxValue)
+			decoded, err := sharder.DecodeRoot(value)
+			is.NoErr(err)
+			joined, err := sharder.Join(decoded, index(shards))
+			is.NoErr(err)
+			is.True(slices.Equal(joined.Accounts, c.Accounts))
+			is.Equal(joined.Zones, c.Zones)
+			is.Equal(joined.Services[0].Name, c.Services[0].Name)
+		})
+	}
+}
+
+func TestChangeOfOneAccountMovesOneShard(t *testing.T) {
+	is := is.New(t)
+	c := manyAccounts(50_000)
+	before, shards, err := sharder.Split(c, sharder.Root{})
+	is.NoErr(err)
+	c.Accounts[17].Weight = 9
+	after, changed, err := sharder.Split(c, before)
+	is.NoErr(err)
+	missing := sharder.Missing(after, index(shards))
+	is.Equal(len(missing), 1)
+	is.True(len(index(changed)[missing[0]]) < 32<<10)
+}
+
+func TestJoinRefusesWrongContent(t *testing.T) {
+	is := is.New(t)
+	root, shards, err := sharder.Split(manyAccounts(3), sharder.Root{})
+	is.NoErr(err)
+	values := index(shards)
+	delete(values, root.Accounts[0])
+	_, err = sharder.Join(root, values)
+	is.True(errors.Is(err, sharder.ErrMissing))
+	values[root.Accounts[0]] = []byte("accounts = []")
+	_, err = sharder.Join(root, values)
+	is.True(errors.Is(err, sharder.ErrCorrupt))
+}
+
+func TestValueTooLarge(t *testing.T) {
+	is := is.New(t)
+	c := &banyanplank.Configuration{}
+	for i := range 20_000 {
+		c.Services = append(c.Services, banyanplank.ServiceSpec{Name: banyanplank.ServiceName(fmt.Sprintf("service-%d", i)), Kind: banyanplank.ServicePlain})
+	}
+	_, _, err := sharder.Split(c, sharder.Root{})
+	is.True(err != nil)
+}
+
+func BenchmarkJoinAfterOneChange(b *testing.B) {
+	c := manyAccounts(50_000)
+	before, shards, _ := sharder.Split(c, sharder.Root{})
+	values := index(shards)
+	var joiner sharder.Joiner
+	for i := 0; b.Loop(); i++ {
+		c.Accounts[17].Weight = i
+		after, changed, _ := sharder.Split(c, before)
+		for _, s := range changed {
+			values[s.Name] = s.Value
+		}
+		if _, err := joiner.Join(after, values); err != nil {
+			b.Fatal(err)
+		}
+		before = after
+	}
+}
