Spread configuration and membership with a pure model over bounded digests

Cause: 420 daemons and 600 agents must learn of a change within 13 s and of each other at 3 KB a second each, through outages of the object API.

Change: coordination/spreader holds one pure model for revision, members and freshness. The configuration's root no longer lists the account shards: an index shard does, so that reading the root often costs little.

--- a/coordination/accepter/accepter.go
+++ b/coordination/accepter/accepter.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -151,24 +152,40 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	values := make(map[sharder.Name][]byte, len(root.Accounts))
-	for _, name := range root.Names() {
-		if value, ok := a.values[name]; ok {
-			values[name] = value
-		}
-	}
-	if err = a.loadShards(ctx, sharder.Missing(root, values), values); err != nil {
+	values, err := a.loadValues(ctx, root)
+	if err != nil {
 		return nil, err
 	}
-	a.values = values
 	return a.joiner.Join(root, values)
 }
 
+// loadValues returns the shards of root. The caller holds the mutex.
+func (a *Accepter) loadValues(ctx context.Context, root sharder.Root) (values map[sharder.Name][]byte, err error) {
+	values = make(map[sharder.Name][]byte, root.Shards)
+	for {
+		missing := sharder.Missing(root, values)
+		if len(missing) == 0 {
+			a.values = values
+			return values, nil
+		}
+		if err = a.loadShards(ctx, missing, values); err != nil {
+			return nil, err
+		}
+	}
+}
+
 // loadShards reads the named shards into values.
 func (a *Accepter) loadShards(ctx context.Context, names []sharder.Name, values map[sharder.Name][]byte) (err error) {
 	var mu sync.Mutex
+	wanted := slices.DeleteFunc(slices.Clone(names), func(name sharder.Name) bool {
+		value, ok := a.values[name]
+		if ok {
+			values[name] = value
+		}
+		return ok
+	})
 	readers := pool.New().WithMaxGoroutines(parallelCalls).WithContext(ctx).WithCancelOnError().WithFirstError()
-	for _, name := range names {
+	for _, name := range wanted {
 		readers.Go(func(ctx context.Context) error {
 			object, err := a.get(ctx, ShardPrefix+string(name))
 			if err != nil {
--- a/coordination/accepter/submission.go
+++ b/coordination/accepter/submission.go
@@ -103,8 +103,12 @@
 // shards that exist already: their new versions keep a sweep, which began
 // before, from removing them.
 func (a *Accepter) putShards(ctx context.Context, root sharder.Root, shards []sharder.Shard) (err error) {
-	named := make(map[sharder.Name]bool, len(root.Accounts))
-	for _, name := range root.Names() {
+	names, err := a.names(ctx, root)
+	if err != nil {
+		return err
+	}
+	named := make(map[sharder.Name]bool, len(names))
+	for _, name := range names {
 		named[name] = true
 	}
 	writers := pool.New().WithMaxGoroutines(parallelCalls).WithContext(ctx).WithCancelOnError().WithFirstError()
@@ -120,6 +124,18 @@
 	return writers.Wait()
 }
 
+// names returns the names of the root's shards.
+func (a *Accepter) names(ctx context.Context, root sharder.Root) (names []sharder.Name, err error) {
+	if root.Revision == 0 {
+		return nil, nil
+	}
+	object, err := a.get(ctx, ShardPrefix+string(root.Index))
+	if err != nil {
+		return nil, err
+	}
+	return root.Names(map[sharder.Name][]byte{root.Index: object.Value}), nil
+}
+
 // ensure writes value under name, whether or not the object exists. All
 // writers of one name write the same value.
 func (a *Accepter) ensure(ctx context.Context, name string, value []byte) (err error) {
--- a/coordination/accepter/sweep.go
+++ b/coordination/accepter/sweep.go
@@ -89,7 +89,11 @@
 // that are kept need.
 func keptNames(root sharder.Root, objects []banyanplank.Object) (kept map[string]bool) {
 	kept = map[string]bool{}
-	keepShards(kept, root)
+	values := make(map[sharder.Name][]byte, len(objects))
+	for _, object := range objects {
+		values[sharder.Name(strings.TrimPrefix(object.Name, ShardPrefix))] = object.Value
+	}
+	keepShards(kept, root, values)
 	for _, object := range objects {
 		text, ok := strings.CutPrefix(object.Name, PastPrefix)
 		if !ok {
@@ -101,15 +105,15 @@
 		}
 		kept[object.Name] = true
 		if past, err := sharder.DecodeRoot(object.Value); err == nil {
-			keepShards(kept, past)
+			keepShards(kept, past, values)
 		}
 	}
 	return kept
 }
 
 // keepShards adds the names of the root's shard objects to kept.
-func keepShards(kept map[string]bool, root sharder.Root) {
-	for _, name := range root.Names() {
+func keepShards(kept map[string]bool, root sharder.Root, values map[sharder.Name][]byte) {
+	for _, name := range root.Names(values) {
 		kept[ShardPrefix+string(name)] = true
 	}
 }
--- a/coordination/accepter/sweep_test.go
+++ b/coordination/accepter/sweep_test.go
@@ -46,7 +46,7 @@
 	}
 	removed, err := a.Sweep(t.Context())
 	is.NoErr(err)
-	is.Equal(removed, 2*13) // revisions 1 to 13, a shard and a root each
+	is.Equal(removed, 3*13) // revisions 1 to 13: an index, a shard and a root each
 	fresh := accepter.New(store)
 	current, err := fresh.Current(t.Context())
 	is.NoErr(err)
--- /dev/null
+++ b/coordination/spreader/record.go
@@ -0,0 +1,45 @@
+package spreader
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// Record is what one daemon says of a member.
+type Record struct {
+	Member banyanplank.Member
+	// Beat orders the records of one incarnation. Only the member itself
+	// raises it, to contradict a record that is wrong.
+	Beat uint32
+}
+
+// Supersedes reports whether the record is newer than other.
+func (r Record) Supersedes(other Record) (newer bool) {
+	if r.Member.Incarnation != other.Member.Incarnation {
+		return r.Member.Incarnation > other.Member.Incarnation
+	}
+	if r.Beat != other.Beat {
+		return r.Beat > other.Beat
+	}
+	return r.Member.State > other.Member.State
+}
+
+// sum returns a hash of what the record says. Gone members have none.
+func (r Record) sum() (sum uint64) {
+	if r.Member.State == banyanplank.MemberGone {
+		return 0
+	}
+	var bits [13]byte
+	for i := range 8 {
+		bits[i] = byte(r.Member.Incarnation >> (8 * i))
+	}
+	for i := range 4 {
+		bits[8+i] = byte(r.Beat >> (8 * i))
+	}
+	bits[12] = byte(r.Member.State)
+	h := xxhash.New()
+	_, _ = h.WriteString(string(r.Member.ID))
+	_, _ = h.Write(bits[:])
+	return h.Sum64()
+}
--- /dev/null
+++ b/protocol/gossiper/convert.go
@@ -0,0 +1,169 @@
+package gossiper
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/spreader"
+	"github.com/banyanplank/banyanplank/state/sharder"
+)
+
+// ErrMalformed means that a message lacks what every build sends.
+var ErrMalformed = errors.New("malformed gossip message")
+
+// EncodeDigest returns the digest as a message.
+func EncodeDigest(d spreader.Digest) (message *Digest) {
+	message = &Digest{From: encodeRecord(d.From), Revision: uint64(d.Revision), Sum: d.Sum, Buckets: d.Buckets, Root: d.Root}
+	if d.Age != spreader.NoAge {
+		age := uint64((d.Age + time.Millisecond - 1) / time.Millisecond)
+		message.Age = &age
+	}
+	message.Updates = encodeRecords(d.Updates)
+	return message
+}
+
+// DecodeDigest reads a message. It leaves out updates that make no sense to
+// this build, and refuses a message whose sender makes none.
+func DecodeDigest(message *Digest) (d spreader.Digest, err error) {
+	from, ok := decodeRecord(message.GetFrom())
+	if !ok {
+		return spreader.Digest{}, errors.Wrap(ErrMalformed, "sender")
+	}
+	d = spreader.Digest{
+		From: from, Revision: banyanplank.Revision(message.GetRevision()), Age: spreader.NoAge,
+		Updates: decodeRecords(message.GetUpdates()), Sum: message.GetSum(), Buckets: message.GetBuckets(), Root: message.GetRoot(),
+	}
+	if message.Age != nil {
+		d.Age = max(0, time.Duration(min(message.GetAge(), maxAge))*time.Millisecond)
+	}
+	return d, nil
+}
+
+// maxAge bounds an age in milliseconds, so that it fits a duration.
+const maxAge = 1 << 40
+
+// encodeRecords returns the records as messages.
+func encodeRecords(records []spreader.Record) (messages []*Record) {
+	for _, r := range records {
+		messages = append(messages, encodeRecord(r))
+	}
+	return messages
+}
+
+// decodeRecords reads the records that make sense.
+func decodeRecords(messages []*Record) (records []spreader.Record) {
+	for _, message := range messages {
+		if r, ok := decodeRecord(message); ok {
+			records = append(records, r)
+		}
+	}
+	return records
+}
+
+// encodeRecord returns one record as a message.
+func encodeRecord(r spreader.Record) (message *Record) {
+	m := r.Member
+	return &Record{
+		Id: string(m.ID), Incarnation: uint64(m.Incarnation), Beat: r.Beat, Role: encodeRole(m.Role),
+		State: uint32(m.State), Instance: string(m.Instance), Zone: string(m.Zone),
+		Peer: encodeAddress(m.Peer), Caller: encodeAddress(m.Caller),
+		Service: string(m.Service), Group: string(m.Group), Rank: uint32(m.Rank),
+	}
+}
+
+// decodeRecord reads one record and reports whether it makes sense.
+func decodeRecord(message *Record) (r spreader.Record, ok bool) {
+	if message.GetId() == "" || message.GetState() > uint32(banyanplank.MemberGone) {
+		return spreader.Record{}, false
+	}
+	r = spreader.Record{Beat: message.GetBeat(), Member: banyanplank.Member{
+		ID: banyanplank.DaemonID(message.GetId()), Incarnation: banyanplank.Incarnation(message.GetIncarnation()),
+		Role: decodeRole(message.GetRole()), State: banyanplank.MemberState(message.GetState()),
+		Instance: banyanplank.InstanceID(message.GetInstance()), Zone: banyanplank.Zone(message.GetZone()),
+		Service: banyanplank.ServiceName(message.GetService()), Group: banyanplank.GroupName(message.GetGroup()),
+		Rank: int(message.GetRank()),
+	}}
+	var peer, caller bool
+	r.Member.Peer, peer = decodeAddress(message.GetPeer())
+	r.Member.Caller, caller = decodeAddress(message.GetCaller())
+	return r, peer && caller
+}
+
+func encodeRole(role banyanplank.Role) (message Role) {
+	switch role {
+	case banyanplank.RoleEntry:
+		return Role_ENTRY
+	case banyanplank.RoleAgent:
+		return Role_AGENT
+	default:
+		return Role_UNKNOWN
+	}
+}
+
+func decodeRole(message Role) (role banyanplank.Role) {
+	switch message {
+	case Role_ENTRY:
+		return banyanplank.RoleEntry
+	case Role_AGENT:
+		return banyanplank.RoleAgent
+	default:
+		return ""
+	}
+}
+
+// encodeAddress returns nothing for an address that is not set.
+func encodeAddress(address netip.AddrPort) (value []byte) {
+	if !address.IsValid() {
+		return nil
+	}
+	value, _ = address.MarshalBinary()
+	return value
+}
+
+// decodeAddress reads what encodeAddress wrote.
+func decodeAddress(value []byte) (address netip.AddrPort, ok bool) {
+	if len(value) == 0 {
+		return netip.AddrPort{}, true
+	}
+	err := address.UnmarshalBinary(value)
+	return address, err == nil
+}
+
+// EncodeRequest returns the request as a message.
+func EncodeRequest(r spreader.FetchRequest) (message *FetchRequest) {
+	message = &FetchRequest{Have: uint64(r.Have), Members: r.Members}
+	for _, name := range r.Names {
+		message.Names = append(message.Names, string(name))
+	}
+	return message
+}
+
+// DecodeRequest reads a message.
+func DecodeRequest(message *FetchRequest) (r spreader.FetchRequest) {
+	r = spreader.FetchRequest{Have: banyanplank.Revision(message.GetHave()), Members: message.GetMembers()}
+	for _, name := range message.GetNames() {
+		r.Names = append(r.Names, sharder.Name(name))
+	}
+	return r
+}
+
+// EncodeReply returns the reply as a message.
+func EncodeReply(r spreader.FetchReply) (message *FetchReply) {
+	message = &FetchReply{Root: r.Root, Members: encodeRecords(r.Members)}
+	for _, s := range r.Shards {
+		message.Shards = append(message.Shards, &Shard{Name: string(s.Name), Value: s.Value})
+	}
+	return message
+}
+
+// DecodeReply reads a message.
+func DecodeReply(message *FetchReply) (r spreader.FetchReply) {
+	r = spreader.FetchReply{Root: message.GetRoot(), Members: decodeRecords(message.GetMembers())}
+	for _, s := range message.GetShards() {
+		r.Shards = append(r.Shards, sharder.Shard{Name: sharder.Name(s.GetName()), Value: s.GetValue()})
+	}
+	return r
+}
--- /dev/null
+++ b/protocol/gossiper/gossiper.go
@@ -0,0 +1,86 @@
+// Package gossiper carries the spreader's messages between daemons over drpc.
+// Fields and records that a build does not know are ignored, so that daemons of
+// different builds talk.
+package gossiper
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+
+	"github.com/banyanplank/banyanplank/coordination/spreader"
+)
+
+// Peer answers exchanges and fetches, as [spreader.Spreader] does.
+type Peer interface {
+	Exchange(ctx context.Context, digest spreader.Digest) (reply spreader.Digest, err error)
+	Fetch(request spreader.FetchRequest) (reply spreader.FetchReply)
+}
+
+// Register serves peer on the mux.
+func Register(mux drpc.Mux, peer Peer) (err error) {
+	return DRPCRegisterGossiper(mux, &server{peer: peer})
+}
+
+// server implements the generated service.
+type server struct {
+	peer Peer
+}
+
+// Exchange implements DRPCGossiperServer.
+func (s *server) Exchange(ctx context.Context, message *Digest) (reply *Digest, err error) {
+	digest, err := DecodeDigest(message)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := s.peer.Exchange(ctx, digest)
+	if err != nil {
+		return nil, err
+	}
+	return EncodeDigest(answer), nil
+}
+
+// Fetch implements DRPCGossiperServer.
+func (s *server) Fetch(_ context.Context, message *FetchRequest) (reply *FetchReply, err error) {
+	return EncodeReply(s.peer.Fetch(DecodeRequest(message))), nil
+}
+
+// Dial returns a connection to the peer at address, to be closed after use.
+type Dial func(ctx context.Context, address netip.AddrPort) drpc.Conn
+
+// Transport implements [spreader.Transport] over drpc.
+type Transport struct {
+	dial Dial
+}
+
+// NewTransport returns a transport that calls over the connections that dial
+// returns.
+func NewTransport(dial Dial) (t *Transport) {
+	return &Transport{dial: dial}
+}
+
+// Exchange implements [spreader.Transport].
+func (t *Transport) Exchange(ctx context.Context, to netip.AddrPort, digest spreader.Digest) (reply spreader.Digest, err error) {
+	defer func() { err = errors.Wrapf(err, "exchange with %s", to) }()
+	conn := t.dial(ctx, to)
+	defer func() { _ = conn.Close() }()
+	message, err := NewDRPCGossiperClient(conn).Exchange(ctx, EncodeDigest(digest))
+	if err != nil {
+		return spreader.Digest{}, err
+	}
+	return DecodeDigest(message)
+}
+
+// Fetch implements [spreader.Transport].
+func (t *Transport) Fetch(ctx context.Context, from netip.AddrPort, request spreader.FetchRequest) (reply spreader.FetchReply, err error) {
+	defer func() { err = errors.Wrapf(err, "fetch from %s", from) }()
+	conn := t.dial(ctx, from)
+	defer func() { _ = conn.Close() }()
+	message, err := NewDRPCGossiperClient(conn).Fetch(ctx, EncodeRequest(request))
+	if err != nil {
+		return spreader.FetchReply{}, err
+	}
+	return DecodeReply(message), nil
+}
--- a/state/sharder/join.go
+++ b/state/sharder/join.go
@@ -23,9 +23,11 @@
 	return nil
 }
 
-// Missing returns the names of the root's shards that values lacks.
+// Missing returns the names of the root's shards that values lacks. The account
+// shards are known only when values has the index, so ask again after reading
+// what was missing.
 func Missing(root Root, values map[Name][]byte) (names []Name) {
-	for _, name := range root.Names() {
+	for _, name := range root.Names(values) {
 		if _, ok := values[name]; !ok {
 			names = append(names, name)
 		}
@@ -49,8 +51,15 @@
 // name order.
 func (j *Joiner) Join(root Root, values map[Name][]byte) (configuration *banyanplank.Configuration, err error) {
 	defer func() { err = errors.Wrapf(err, "join revision %d", root.Revision) }()
-	sections := make(map[Name]section, len(root.Accounts))
-	for _, name := range root.Names() {
+	if missing := Missing(root, values); len(missing) > 0 {
+		return nil, errors.Wrapf(ErrMissing, "%d shards", len(missing))
+	}
+	if err = Verify(Shard{Name: root.Index, Value: values[root.Index]}); err != nil {
+		return nil, err
+	}
+	accounts := slices.Compact(slices.Sorted(slices.Values(decodeIndex(values[root.Index]))))
+	sections := make(map[Name]section, len(accounts))
+	for _, name := range append(slices.Clone(accounts), root.Services, root.Groups) {
 		if sections[name], err = j.section(name, values); err != nil {
 			return nil, err
 		}
@@ -63,7 +72,7 @@
 		Groups:   sections[root.Groups].Groups,
 		Accounts: make([]banyanplank.AccountSpec, 0, countAccounts(sections)),
 	}
-	for _, name := range slices.Compact(slices.Sorted(slices.Values(root.Accounts))) {
+	for _, name := range accounts {
 		configuration.Accounts = append(configuration.Accounts, sections[name].Accounts...)
 	}
 	slices.SortFunc(configuration.Accounts, compareAccounts)
@@ -75,10 +84,7 @@
 	if s, ok := j.sections[name]; ok {
 		return s, nil
 	}
-	value, ok := values[name]
-	if !ok {
-		return section{}, errors.Wrapf(ErrMissing, "shard %s", name)
-	}
+	value := values[name]
 	if err = Verify(Shard{Name: name, Value: value}); err != nil {
 		return section{}, err
 	}
--- a/state/sharder/root.go
+++ b/state/sharder/root.go
@@ -19,7 +19,7 @@
 )
 
 // recentLimit bounds the submissions that a root remembers.
-const recentLimit = 64
+const recentLimit = 16
 
 // Name is the name of a shard: a digest of its content in URL-safe Base64.
 type Name string
@@ -52,9 +52,12 @@
 	Zones    []banyanplank.ZoneSpec `toml:"zones"`
 	Services Name                   `toml:"services"`
 	Groups   Name                   `toml:"groups"`
-	// Accounts has a power of two names. An account is in the shard whose
-	// index is the low bits of the hash of its name.
-	Accounts []Name `toml:"accounts"`
+	// Shards is the number of account shards, a power of two. An account is in
+	// the shard whose index is the low bits of the hash of its name.
+	Shards int `toml:"shards"`
+	// Index names the shard that lists the names of the account shards. It is
+	// apart because the root is read far more often than it changes.
+	Index Name `toml:"index"`
 	// Recent lists the newest submissions, the latest last.
 	Recent []Submission `toml:"recent"`
 }
@@ -65,7 +68,7 @@
 	if err = toml.Unmarshal(value, &root); err != nil {
 		return Root{}, err
 	}
-	if n := len(root.Accounts); n&(n-1) != 0 {
+	if n := root.Shards; n < 0 || n&(n-1) != 0 {
 		return Root{}, errors.Newf("%d account shards are not a power of two", n)
 	}
 	return root, nil
@@ -81,21 +84,38 @@
 	return value, err
 }
 
-// Names returns the names of all shards of the root, without repetition. A
-// root of revision zero may have none.
-func (r Root) Names() (names []Name) {
-	names = append(names, r.Accounts...)
-	names = append(names, r.Services, r.Groups)
+// Names returns the names of all shards of the root in order, without
+// repetition. It lacks the account shards while values lacks the index.
+func (r Root) Names(values map[Name][]byte) (names []Name) {
+	names = append(names, r.Services, r.Groups, r.Index)
+	if value, ok := values[r.Index]; ok {
+		names = append(names, decodeIndex(value)...)
+	}
 	slices.Sort(names)
 	names = slices.Compact(names)
 	return slices.DeleteFunc(names, func(name Name) bool { return name == "" })
 }
 
+// index is the content of the shard that lists the account shards.
+type index struct {
+	Accounts []Name `toml:"accounts"`
+}
+
+// decodeIndex returns the names of the account shards. A shard that is no
+// index has none.
+func decodeIndex(value []byte) (names []Name) {
+	var i index
+	if toml.Unmarshal(value, &i) != nil {
+		return nil
+	}
+	return i.Accounts
+}
+
 // EqualContent reports whether both roots declare the same, whatever their
 // revisions are.
 func (r Root) EqualContent(other Root) (equal bool) {
 	return r.Services == other.Services && r.Groups == other.Groups &&
-		slices.Equal(r.Zones, other.Zones) && slices.Equal(r.Accounts, other.Accounts)
+		r.Index == other.Index && slices.Equal(r.Zones, other.Zones)
 }
 
 // Accepted returns the revision that the submission called id became.
--- a/state/sharder/sharder_test.go
+++ b/state/sharder/sharder_test.go
@@ -48,13 +48,13 @@
 			c := manyAccounts(test.accounts)
 			root, shards, err := sharder.Split(c, sharder.Root{})
 			is.NoErr(err)
-			is.Equal(len(root.Accounts), test.shards)
+			is.Equal(root.Shards, test.shards)
 			for _, s := range shards {
 				is.True(len(s.Value) < banyanplank.MaxValue)
 			}
 			value, err := root.Encode()
 			is.NoErr(err)
-			is.True(len(value) < banyanplank.MaxValue)
+			is.True(len(value) < 4<<10) // it is read often
 			decoded, err := sharder.DecodeRoot(value)
 			is.NoErr(err)
 			joined, err := sharder.Join(decoded, index(shards))
@@ -75,6 +75,10 @@
 	after, changed, err := sharder.Split(c, before)
 	is.NoErr(err)
 	missing := sharder.Missing(after, index(shards))
+	is.Equal(missing, []sharder.Name{after.Index})
+	values := index(shards)
+	values[after.Index] = index(changed)[after.Index]
+	missing = sharder.Missing(after, values)
 	is.Equal(len(missing), 1)
 	is.True(len(index(changed)[missing[0]]) < 32<<10)
 }
@@ -84,10 +88,10 @@
 	root, shards, err := sharder.Split(manyAccounts(3), sharder.Root{})
 	is.NoErr(err)
 	values := index(shards)
-	delete(values, root.Accounts[0])
+	delete(values, root.Services)
 	_, err = sharder.Join(root, values)
 	is.True(errors.Is(err, sharder.ErrMissing))
-	values[root.Accounts[0]] = []byte("accounts = []")
+	values[root.Services] = []byte("accounts = []")
 	_, err = sharder.Join(root, values)
 	is.True(errors.Is(err, sharder.ErrCorrupt))
 }
--- a/state/sharder/split.go
+++ b/state/sharder/split.go
@@ -35,7 +35,7 @@
 	defer func() { err = errors.Wrap(err, "split the configuration") }()
 	root.Zones = slices.Clone(configuration.Zones)
 	sections := []section{{Services: configuration.Services}, {Groups: configuration.Groups}}
-	count := shardCount(len(configuration.Accounts), len(previous.Accounts))
+	count := shardCount(len(configuration.Accounts), previous.Shards)
 	sections = append(sections, cutAccounts(configuration.Accounts, count)...)
 	names := make([]Name, 0, len(sections))
 	for _, s := range sections {
@@ -46,7 +46,12 @@
 		shards = append(shards, shard)
 		names = append(names, shard.Name)
 	}
-	root.Services, root.Groups, root.Accounts = names[0], names[1], names[2:]
+	list, err := toml.Marshal(index{Accounts: names[2:]})
+	if err != nil {
+		return Root{}, nil, err
+	}
+	shards = append(shards, Shard{Name: NameOf(list), Value: list})
+	root.Services, root.Groups, root.Index, root.Shards = names[0], names[1], NameOf(list), count
 	return root, shards, nil
 }
 
