Wire the spreader, the accepter and the advertiser into the daemon

Cause: each daemon read the whole configuration and all members from the object API every second, which grows with the fleet and ends with the API's outage.

Change: daemon/spread.go runs the spreader and answers GET /v1/entries from the advertiser. A gate refuses new work at an agent that had no news; an entry without news, or whose zone is out, refuses calls. Settings take peers, so that a daemon can start while the object API is down. Tests and the example submit through the accepter.

--- a/cmd/banyanplankd/script_test.go
+++ b/cmd/banyanplankd/script_test.go
@@ -18,11 +18,11 @@
 	"testing"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/sourcegraph/conc"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/accepter"
 	"github.com/banyanplank/banyanplank/daemon"
 	"github.com/banyanplank/banyanplank/standin/engine"
 	"github.com/banyanplank/banyanplank/standin/platform"
@@ -124,13 +124,13 @@
 
 // submit replaces the configuration in force.
 func submit(store banyanplank.ObjectStore, configuration *banyanplank.Configuration) (err error) {
-	text, err := toml.Marshal(configuration)
+	ctx := context.Background()
+	accepts := accepter.New(store)
+	current, err := accepts.Current(ctx)
 	if err != nil {
 		return err
 	}
-	ctx := context.Background()
-	held, _ := store.Get(ctx, "configuration")
-	_, err = store.Put(ctx, "configuration", text, held.Version)
+	_, err = accepts.Accept(ctx, current.Revision, configuration)
 	return err
 }
 
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -31,7 +31,7 @@
 
 func newAgent(d *Daemon) (a *agent, err error) {
 	guard := newGuard(d.settings, d.member, invoker.New(d.settings.Endpoint.Address))
-	a = &agent{daemon: d, endpoint: guard.Endpoint(), admitter: guard}
+	a = &agent{daemon: d, endpoint: guard.Endpoint(), admitter: gate{Admitter: guard, serves: d.serves}}
 	a.runner = newRunner(d, a.endpoint, a.admitter)
 	return a, d.listener.HandleCalls(a)
 }
@@ -96,4 +96,4 @@
 	return max(a.runner.Running(), int(a.following.Load()))
 }
 
-func (a *agent) ready() (ready bool) { return a.known.Load() }
+func (a *agent) ready() (ready bool) { return a.known.Load() && a.daemon.serves(time.Now()) }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,14 +9,15 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/spreader"
 	"github.com/banyanplank/banyanplank/state/keeper"
 	"github.com/banyanplank/banyanplank/state/loader"
 	"github.com/banyanplank/banyanplank/transport/dialer"
@@ -34,7 +35,8 @@
 	dialer   *dialer.Dialer
 	listener *listener.Listener
 	role     role
-	known    atomic.Pointer[registry]
+	spreader *spreader.Spreader
+	work     conc.WaitGroup
 }
 
 // role is what an entry and an agent do differently.
@@ -118,11 +120,13 @@
 	d.listener = listener.New(listener.WithTLS(config), listener.WithFailed(d.logPeer))
 	if d.settings.Role == banyanplank.RoleEntry {
 		d.role = newEntry(d, config)
-		return nil
+		return d.assembleSpreader()
 	}
 	d.dialer = dialer.New(dialer.WithTLS(config))
-	d.role, err = newAgent(d)
-	return err
+	if d.role, err = newAgent(d); err != nil {
+		return err
+	}
+	return d.assembleSpreader()
 }
 
 func (d *Daemon) logPeer(err error) {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -87,4 +87,8 @@
 
 func (e *entry) inFlight() (requests int) { return int(e.running.Load()) }
 
-func (e *entry) ready() (ready bool) { return e.known.Load() }
+// ready reports whether the entry knows the configuration, is sure enough of it
+// and is in an availability zone in service.
+func (e *entry) ready() (ready bool) {
+	return e.known.Load() && e.daemon.serves(time.Now()) && !e.daemon.keeper.View().IsZoneOut(e.daemon.settings.Zone)
+}
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -14,10 +14,10 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/pelletier/go-toml/v2"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/accepter"
 	"github.com/banyanplank/banyanplank/daemon"
 	"github.com/banyanplank/banyanplank/standin/platform"
 	"github.com/banyanplank/banyanplank/state/loader"
@@ -42,14 +42,12 @@
 	t.Cleanup(endpoint.Close)
 	p = &path{endpoint: endpoint.URL, platform: platform.New()}
 	digest := sha256.Sum256([]byte(secret))
-	text, err := toml.Marshal(banyanplank.Configuration{
+	_, err := accepter.New(p.platform).Accept(t.Context(), 0, &banyanplank.Configuration{
 		Zones:    []banyanplank.ZoneSpec{{Name: "a", Region: "r"}},
 		Services: []banyanplank.ServiceSpec{{Name: "guide", Kind: banyanplank.ServiceModel}},
 		Accounts: []banyanplank.AccountSpec{{Name: "himal", Key: hex.EncodeToString(digest[:])}},
 	})
 	is.NoErr(err)
-	_, err = p.platform.Put(t.Context(), "configuration", text, 0)
-	is.NoErr(err)
 	p.entry = newSettings(t, banyanplank.RoleEntry)
 	p.entry.Listen.Caller = freeAddress(t)
 	p.agent = newSettings(t, banyanplank.RoleAgent)
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -3,55 +3,82 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/pelletier/go-toml/v2"
+	"storj.io/drpc"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/advertiser"
+	"github.com/banyanplank/banyanplank/coordination/spreader"
+	"github.com/banyanplank/banyanplank/protocol/gossiper"
 )
 
-// The names of the objects in the platform's object API.
-const (
-	configurationObject = "configuration"
-	memberPrefix        = "members/"
-)
+// memberPrefix begins the names of the objects by which daemons that start
+// find each other.
+const memberPrefix = "members/"
 
 const (
-	// spreadInterval is the time between two looks at the object API.
-	spreadInterval = time.Second
+	// announceInterval is the time between two tries to announce the daemon.
+	announceInterval = time.Second
+	// statusInterval is the time between two looks at the own status for the log.
+	statusInterval = time.Second
 	// keepEntries is how long callers may keep the answer of GET /v1/entries.
-	keepEntries = 5 * time.Second
+	keepEntries = advertiser.DefaultKeep
 )
 
-// registry is what the daemon knows of its peers.
-type registry struct {
-	members []banyanplank.Member
+// assembleSpreader builds what keeps the daemon on the newest configuration.
+func (d *Daemon) assembleSpreader() (err error) {
+	model := spreader.NewModel(time.Now(), d.member, spreader.NewRandom(d.member), spreader.WithSeeds(d.settings.Peers))
+	transport := gossiper.NewTransport(func(ctx context.Context, address netip.AddrPort) drpc.Conn {
+		return d.dialer.Conn(ctx, address)
+	})
+	executor := spreader.NewExecutor(transport, d.store, d.list)
+	d.spreader = spreader.New(model, executor, spreader.WithChanged(d.changed))
+	return gossiper.Register(d.listener.Mux(), d.spreader)
+}
+
+// changed hands a new configuration or new members to the role.
+func (d *Daemon) changed(snapshot *spreader.Snapshot) {
+	if snapshot.Configuration == nil {
+		return
+	}
+	if d.keeper.Set(snapshot.Configuration) {
+		d.logger.Info().Uint64("revision", uint64(snapshot.Configuration.Revision)).Msg("configured")
+	}
+	d.role.renew(time.Now(), snapshot.Members)
 }
 
 // spread announces the daemon and follows the configuration and the members
 // until ctx ends.
 func (d *Daemon) spread(ctx context.Context) (err error) {
-	ticker := time.NewTicker(spreadInterval)
+	d.work.Go(func() { d.announce(ctx) })
+	d.work.Go(func() { d.logStatus(ctx) })
+	defer d.work.Wait()
+	return d.spreader.Run(ctx)
+}
+
+// announce writes the daemon's own member object and reads those of others, so
+// that daemons find each other at the start. It tries until it succeeded.
+func (d *Daemon) announce(ctx context.Context) {
+	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
-	announced := false
 	for {
-		if !announced {
-			announced = d.announce(ctx) == nil
-		}
-		if err := d.refresh(ctx); err != nil && ctx.Err() == nil {
-			d.logger.Warn().Err(err).Msg("refresh_failed")
+		err := d.exchangeSeeds(ctx)
+		if err == nil {
+			return
 		}
+		d.logger.Warn().Err(err).Msg("announce_failed")
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-ticker.C:
 		}
 	}
 }
 
-// announce writes the daemon's own member object.
-func (d *Daemon) announce(ctx context.Context) (err error) {
+func (d *Daemon) exchangeSeeds(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrap(err, "announce member") }()
 	value, err := json.Marshal(d.member)
 	if err != nil {
@@ -62,72 +89,74 @@
 	if err != nil && !errors.Is(err, banyanplank.ErrNotFound) {
 		return err
 	}
-	_, err = d.store.Put(ctx, name, value, held.Version)
-	return err
-}
-
-// leave tells the peers that the daemon is leaving.
-func (d *Daemon) leave(ctx context.Context) {
-	d.member.State = banyanplank.MemberLeaving
-	if err := d.announce(ctx); err != nil {
-		d.logger.Warn().Err(err).Msg("leave_failed")
-	}
-}
-
-// refresh reads the configuration and the members and hands them to the role.
-func (d *Daemon) refresh(ctx context.Context) (err error) {
-	defer func() { err = errors.Wrap(err, "refresh") }()
-	object, err := d.store.Get(ctx, configurationObject)
-	if err != nil {
-		return err
-	}
-	var configuration banyanplank.Configuration
-	if err := toml.Unmarshal(object.Value, &configuration); err != nil {
+	if _, err = d.store.Put(ctx, name, value, held.Version); err != nil {
 		return err
 	}
-	configuration.Revision = banyanplank.Revision(object.Version)
-	if d.keeper.Set(&configuration) {
-		d.logger.Info().Uint64("revision", uint64(configuration.Revision)).Msg("configured")
-	}
 	objects, err := d.store.List(ctx, memberPrefix)
 	if err != nil {
 		return err
 	}
-	members, err := decodeMembers(objects)
-	if err != nil {
-		return err
-	}
-	d.known.Store(&registry{members: members})
-	d.role.renew(time.Now(), members)
+	d.spreader.AddSeeds(ctx, seedsOf(objects))
 	return nil
 }
 
-func decodeMembers(objects []banyanplank.Object) (members []banyanplank.Member, err error) {
+// seedsOf returns the addresses in the member objects that make sense.
+func seedsOf(objects []banyanplank.Object) (seeds []netip.AddrPort) {
 	for _, object := range objects {
 		var member banyanplank.Member
-		if err := json.Unmarshal(object.Value, &member); err != nil {
-			return nil, err
+		if json.Unmarshal(object.Value, &member) == nil && member.Peer.IsValid() {
+			seeds = append(seeds, member.Peer)
 		}
-		members = append(members, member)
 	}
-	return members, nil
+	return seeds
 }
 
-// members returns the daemons that this one knows.
-func (d *Daemon) members() (members []banyanplank.Member) {
-	if known := d.known.Load(); known != nil {
-		return known.members
+// logStatus logs when the daemon begins or ceases to take new work.
+func (d *Daemon) logStatus(ctx context.Context) {
+	ticker := time.NewTicker(statusInterval)
+	defer ticker.Stop()
+	var last spreader.Status
+	for {
+		status := d.spreader.Snapshot().Status(time.Now())
+		if status != last {
+			d.logger.Info().Str("status", string(status)).Msg("news")
+			last = status
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
 	}
-	return nil
 }
 
-// Advertise implements [receiver.Advertiser] with all entries that serve.
-func (d *Daemon) Advertise(_ string) (entries []banyanplank.Member, keep time.Duration) {
-	view := d.keeper.View()
-	for _, m := range d.members() {
-		if m.Role == banyanplank.RoleEntry && m.State == banyanplank.MemberLive && !view.IsZoneOut(m.Zone) {
-			entries = append(entries, m)
-		}
+// leave tells the peers that the daemon is leaving, and takes it off the
+// objects by which others start.
+func (d *Daemon) leave(ctx context.Context) {
+	d.spreader.Leave(ctx)
+	name := memberPrefix + string(d.member.ID)
+	held, err := d.store.Get(ctx, name)
+	if err == nil {
+		err = d.store.Delete(ctx, name, held.Version)
+	}
+	if err != nil && !errors.Is(err, banyanplank.ErrNotFound) {
+		d.logger.Warn().Err(err).Msg("leave_failed")
 	}
-	return entries, keepEntries
+}
+
+// serves reports whether the daemon is sure enough of its configuration to take
+// new work.
+func (d *Daemon) serves(now time.Time) (serves bool) {
+	return d.spreader.Snapshot().Serves(now)
+}
+
+// members returns the daemons that this one knows.
+func (d *Daemon) members() (members []banyanplank.Member) {
+	return d.spreader.Snapshot().Members
+}
+
+// Advertise implements [receiver.Advertiser].
+func (d *Daemon) Advertise(name string) (entries []banyanplank.Member, keep time.Duration) {
+	chosen := advertiser.New(advertiser.WithKeep(keepEntries))
+	return chosen.Advertise(name, d.members(), d.keeper.View().IsZoneOut), chosen.Keep()
 }
--- a/examples/local/fleet.go
+++ b/examples/local/fleet.go
@@ -10,10 +10,10 @@
 	"net/netip"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/accepter"
 	"github.com/banyanplank/banyanplank/daemon"
 	"github.com/banyanplank/banyanplank/standin/engine"
 	"github.com/banyanplank/banyanplank/standin/platform"
@@ -79,12 +79,12 @@
 		}
 		configuration.Zones = append(configuration.Zones, spec)
 	}
-	text, err := toml.Marshal(configuration)
+	accepts := accepter.New(f.platform)
+	current, err := accepts.Current(ctx)
 	if err != nil {
 		return err
 	}
-	held, _ := f.platform.Get(ctx, "configuration")
-	_, err = f.platform.Put(ctx, "configuration", text, held.Version)
+	_, err = accepts.Accept(ctx, current.Revision, &configuration)
 	return err
 }
 
--- a/state/loader/settings.go
+++ b/state/loader/settings.go
@@ -22,6 +22,9 @@
 	Platform Platform         `toml:"platform"`
 	Endpoint Endpoint         `toml:"endpoint"`
 	Limits   Limits           `toml:"limits"`
+	// Peers are the peer addresses of a few other daemons. They let the daemon
+	// start while the object API is down.
+	Peers []netip.AddrPort `toml:"peers"`
 }
 
 // Listen holds the addresses that the daemon serves.
