Count the calls of an entry for the burn report

Cause: the burn report needs each entry's counts, and callers' own mistakes, limits and slow reading must not burn a service's budget. Change: entries record how each call ended, serve the tally at GET /v1/tally and store it. A refusal for the caller's fault is not counted; a caller that hangs up counts with its wait; the time between parts no longer includes the time that the caller takes to read. Conclusion: TestOutcomeOfCall failed before on hang-ups and slow readers.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/state/keeper"
 	"github.com/banyanplank/banyanplank/state/loader"
+	"github.com/banyanplank/banyanplank/state/tallier"
 	"github.com/banyanplank/banyanplank/transport/dialer"
 	"github.com/banyanplank/banyanplank/transport/listener"
 )
@@ -33,6 +34,7 @@
 	member   banyanplank.Member
 	dialer   *dialer.Dialer
 	listener *listener.Listener
+	tallier  *tallier.Tallier
 	role     role
 	known    atomic.Pointer[registry]
 }
@@ -81,6 +83,7 @@
 		keeper:   &keeper.Keeper{},
 		member:   memberOf(settings, time.Now()),
 	}
+	d.tallier = tallier.New(d.member)
 	for _, option := range options {
 		option(d)
 	}
@@ -142,6 +145,7 @@
 	group.Go(d.serveAdmin)
 	group.Go(d.role.serve)
 	group.Go(d.spread)
+	group.Go(d.storeTally)
 	group.Go(func(inner context.Context) (err error) {
 		defer stop()
 		select {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -34,6 +34,7 @@
 		receiver.WithBody(d.settings.Limits.Body),
 		receiver.WithTimeout(time.Duration(d.settings.Limits.Timeout)),
 		receiver.WithReady(e.ready),
+		receiver.WithOutcomes(d.tallier),
 	)
 	e.server = receiver.NewServer(e.count(handler))
 	return e
@@ -60,7 +61,9 @@
 }
 
 func (e *entry) renew(now time.Time, members []banyanplank.Member) {
-	e.picker.Renew(now, members, e.daemon.keeper.View().Configuration)
+	configuration := e.daemon.keeper.View().Configuration
+	e.picker.Renew(now, members, configuration)
+	e.daemon.tallier.Renew(configuration)
 	e.known.Store(true)
 }
 
--- /dev/null
+++ b/daemon/tally.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/flusher"
+)
+
+// serveTally answers GET /v1/tally with what this daemon counted.
+func (d *Daemon) serveTally(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(d.tallier.Snapshot(time.Now()))
+}
+
+// storeTally keeps the tally of an entry in the object API until ctx ends.
+func (d *Daemon) storeTally(ctx context.Context) (err error) {
+	if d.settings.Role != banyanplank.RoleEntry {
+		return nil
+	}
+	f := flusher.New(d.store, d.settings.Name, d.tallier,
+		flusher.WithFleet(d.tallyFleet),
+		flusher.WithFailed(func(err error) { d.logger.Warn().Err(err).Msg("tally_failed") }),
+	)
+	f.Run(ctx)
+	return nil
+}
+
+// tallyFleet counts the entries that store tallies. The one whose name comes
+// first sweeps.
+func (d *Daemon) tallyFleet() (fleet flusher.Fleet) {
+	fleet = flusher.Fleet{Entries: 1, Sweeps: true}
+	for _, m := range d.members() {
+		if m.Role != banyanplank.RoleEntry || m.State != banyanplank.MemberLive || m.ID == d.settings.Name {
+			continue
+		}
+		fleet.Entries++
+		fleet.Sweeps = fleet.Sweeps && d.settings.Name < m.ID
+	}
+	return fleet
+}
--- a/transport/receiver/receiver_test.go
+++ b/transport/receiver/receiver_test.go
@@ -80,7 +80,7 @@
 	return held
 }
 
-func newReceiver(forward *recorded, options ...receiver.Option) *receiver.Receiver {
+func newReceiver(forward receiver.Forwarder, options ...receiver.Option) *receiver.Receiver {
 	return receiver.New(newKeeper(), forward, oneEntry{}, func() banyanplank.RequestID { return "r1" }, options...)
 }
 
--- a/transport/receiver/serve.go
+++ b/transport/receiver/serve.go
@@ -105,13 +105,16 @@
 	began := time.Now()
 	answer, err := r.forwarder.Forward(incoming.Context(), request)
 	if err != nil {
-		r.outcomes.Record(request.Service, request.Account, false, 0, 0)
+		r.record(request, ended{err: err, waited: time.Since(began), left: hasLeft(incoming, err)})
 		writeRefusal(w, err)
 		return
 	}
 	defer answer.Close()
-	first, slowest, err := copyAnswer(w, answer, began)
-	r.outcomes.Record(request.Service, request.Account, err == nil && answer.Head().Status < http.StatusInternalServerError, first, slowest)
+	seen, err := copyAnswer(w, answer, began)
+	seen.err = err
+	seen.status = answer.Head().Status
+	seen.left = hasLeft(incoming, err)
+	r.record(request, seen)
 	if err != nil {
 		// The answer has begun, so only the connection can tell that it was cut.
 		panic(http.ErrAbortHandler)
@@ -119,27 +122,29 @@
 }
 
 // copyAnswer writes the answer out and measures its pace.
-func copyAnswer(w http.ResponseWriter, answer banyanplank.Answer, began time.Time) (first, slowest time.Duration, err error) {
+func copyAnswer(w http.ResponseWriter, answer banyanplank.Answer, began time.Time) (seen ended, err error) {
 	head := answer.Head()
 	writer := newWriter(w, head)
 	latest := began
 	for {
 		part, err := answer.Next()
+		now := time.Now()
+		seen.waited = now.Sub(began)
 		if errors.Is(err, io.EOF) {
-			return first, slowest, writer.end()
+			return seen, errors.Mark(writer.end(), errCallerLeft)
 		}
 		if err != nil {
-			return first, slowest, writer.cut(err)
+			return seen, writer.cut(err)
 		}
-		now := time.Now()
-		if first == 0 {
-			first = now.Sub(began)
+		if seen.first == 0 {
+			seen.first = seen.waited
 		} else {
-			slowest = max(slowest, now.Sub(latest))
+			seen.slowest = max(seen.slowest, now.Sub(latest))
 		}
-		latest = now
 		if err := writer.part(part); err != nil {
-			return first, slowest, err
+			return seen, errors.Mark(err, errCallerLeft)
 		}
+		// A caller that reads slowly is no fault of the service.
+		latest = time.Now()
 	}
 }
