--- /dev/null
+++ b/coordination/flusher/encoding_test.go
@@ -0,0 +1,90 @@
+package flusher_test
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/flusher"
+	"github.com/banyanplank/banyanplank/standin/platform"
+	"github.com/banyanplank/banyanplank/state/tallier"
+)
+
+// zipped compresses text.
+func zipped(t *testing.T, text []byte) (value []byte) {
+	var buffer bytes.Buffer
+	writer := gzip.NewWriter(&buffer)
+	_, err := writer.Write(text)
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(writer.Close())
+	return buffer.Bytes()
+}
+
+func TestDamagedObjectsAreCounted(t *testing.T) {
+	cases := map[string][]byte{
+		"empty":        {},
+		"not gzip":     []byte(`{}`),
+		"cut short":    zipped(t, []byte(`{}`))[:12],
+		"not JSON":     zipped(t, []byte(`{`)),
+		"decompresses": zipped(t, bytes.Repeat([]byte(" "), 9<<20)),
+	}
+	for name, value := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := platform.New()
+			_, err := p.Put(t.Context(), flusher.Prefix+"entry-1", value, 0)
+			is.NoErr(err)
+			tallies, damaged, err := flusher.Stored(t.Context(), p)
+			is.NoErr(err)
+			is.Equal(len(tallies), 0)
+			is.Equal(damaged, 1)
+		})
+	}
+}
+
+// BenchmarkStored measures the object of three full days.
+func BenchmarkStored(b *testing.B) {
+	for _, accounts := range []int{10, 1_000, 50_000} {
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			value := 0
+			for b.Loop() {
+				p := platform.New()
+				f := flusher.New(p, "entry-1", full(accounts))
+				if err := f.Flush(b.Context()); err != nil {
+					b.Fatal(err)
+				}
+				object, err := p.Get(b.Context(), flusher.Prefix+"entry-1")
+				if err != nil {
+					b.Fatal(err)
+				}
+				value = len(object.Value)
+			}
+			b.ReportMetric(float64(value), "value-B")
+		})
+	}
+}
+
+// full returns a tallier whose closed buckets are as full as they get.
+func full(accounts int) (held *tallier.Tallier) {
+	held = tallier.New(banyanplank.Member{ID: "entry-1", Incarnation: 1, Zone: "a"})
+	now := time.Now()
+	var earlier tallier.Tally
+	for _, span := range []time.Duration{tallier.Minute, tallier.FiveMinutes, tallier.Hour} {
+		for i := range 73 {
+			bucket := tallier.Bucket{Start: now.Add(-time.Duration(i+1) * span).Truncate(span), Span: span}
+			for j := range min(accounts, 32) {
+				account := banyanplank.AccountID(fmt.Sprint("account-", (i*7919+j*104729)%accounts))
+				counts := tallier.Counts{Calls: uint64(1000 + i*j%977), Failed: uint64(i * j % 7), Slow: uint64(i * j % 11)}
+				bucket.Cells = append(bucket.Cells, tallier.Cell{Pair: tallier.Pair{Service: "chat", Account: account}, Counts: counts})
+			}
+			earlier.Buckets = append(earlier.Buckets, bucket)
+		}
+	}
+	held.Restore(now, earlier)
+	return held
+}
--- a/coordination/flusher/flusher.go
+++ b/coordination/flusher/flusher.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -118,7 +117,7 @@
 	f.swept = time.Now()
 	wait := f.firstWait()
 	for sleep(ctx, wait) {
-		if f.flush(ctx) {
+		if errors.Is(f.Flush(ctx), ErrSuperseded) {
 			return
 		}
 		f.sweepIfDue(ctx)
@@ -126,7 +125,7 @@
 	}
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastTimeout)
 	defer cancel()
-	f.flush(last)
+	_ = f.Flush(last)
 }
 
 // firstWait spreads the daemons over the interval.
@@ -163,7 +162,7 @@
 		return ErrSuperseded
 	}
 	claim.Buckets = earlier.Buckets
-	value, err := json.Marshal(claim)
+	value, err := encode(claim)
 	if err != nil {
 		return err
 	}
@@ -185,7 +184,7 @@
 	if err != nil {
 		return tallier.Tally{}, 0, err
 	}
-	err = json.Unmarshal(object.Value, &stored)
+	stored, err = decode(object.Value)
 	if err != nil {
 		f.failed(err)
 	}
@@ -197,13 +196,13 @@
 	return Prefix + string(f.daemon)
 }
 
-// flush stores the tally and reports whether a later run does so now.
-func (f *Flusher) flush(ctx context.Context) (superseded bool) {
-	err := f.write(ctx)
+// Flush stores the tally at once. The error has been reported already.
+func (f *Flusher) Flush(ctx context.Context) (err error) {
+	err = f.write(ctx)
 	if err != nil {
 		f.failed(err)
 	}
-	return errors.Is(err, ErrSuperseded)
+	return err
 }
 
 // write stores the tally. If the version is not the expected one, a reply was
@@ -211,7 +210,7 @@
 func (f *Flusher) write(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrap(err, "store tally") }()
 	tally := f.tally.Snapshot(time.Now())
-	value, err := json.Marshal(tally)
+	value, err := encode(tally)
 	if err != nil {
 		return err
 	}
--- a/coordination/flusher/flusher_test.go
+++ b/coordination/flusher/flusher_test.go
@@ -202,7 +202,8 @@
 		gone.stop()
 		_, err := p.Put(t.Context(), flusher.Prefix+"damaged", []byte("{"), 0)
 		is.NoErr(err)
-		stays := start(t, p, "entry-stays", 1)
+		fleet := func() flusher.Fleet { return flusher.Fleet{Entries: 420, Sweeps: true} }
+		stays := start(t, p, "entry-stays", 1, flusher.WithFleet(fleet))
 		stays.count(4)
 		time.Sleep(72 * time.Hour)
 		is.Equal(p.Calls().Delete, 1) // the damaged one
--- a/coordination/flusher/reading.go
+++ b/coordination/flusher/reading.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,8 +19,8 @@
 		return nil, 0, err
 	}
 	for _, object := range objects {
-		var tally tallier.Tally
-		if json.Unmarshal(object.Value, &tally) != nil {
+		tally, decodeErr := decode(object.Value)
+		if decodeErr != nil {
 			damaged++
 			continue
 		}
@@ -39,8 +38,7 @@
 		return err
 	}
 	for _, object := range objects {
-		var tally tallier.Tally
-		decodeErr := json.Unmarshal(object.Value, &tally)
+		tally, decodeErr := decode(object.Value)
 		if decodeErr == nil && now.Sub(tally.At) < keepUnused {
 			continue
 		}
--- a/coordination/reporter/html.go
+++ b/coordination/reporter/html.go
@@ -14,11 +14,11 @@
 var page string
 
 var pageTemplate = template.Must(template.New("report").Funcs(template.FuncMap{
-	"percent": percent,
-	"level":   level,
-	"rate":    func(burn float64) string { return fmt.Sprintf("%.2f", burn) },
-	"stamp":   func(at time.Time) string { return at.Format("2006-01-02 15:04 MST") },
-	"last":    func(list []Window) Window { return list[window3d] },
+	"left":  Objective.left,
+	"level": level,
+	"rate":  func(burn float64) string { return fmt.Sprintf("%.2f", burn) },
+	"stamp": func(at time.Time) string { return at.Format("2006-01-02 15:04 MST") },
+	"last":  func(list []Window) Window { return list[window3d] },
 	"hours": func(now time.Time, o Objective) plot {
 		return newPlot("by hour over three days", now, windows[window3d], o.Hours)
 	},
--- a/coordination/reporter/text.go
+++ b/coordination/reporter/text.go
@@ -24,7 +24,7 @@
 			fmt.Fprintf(&b, "\nservice %s has no objective\n", s.Name)
 		}
 		for _, o := range s.Objectives {
-			fmt.Fprintf(&b, "\nservice %s, %s: %s of the budget of three days left\n", s.Name, o.Title(), percent(o.Left))
+			fmt.Fprintf(&b, "\nservice %s, %s: %s of the budget of three days left\n", s.Name, o.Title(), o.left())
 			o.writeText(&b)
 		}
 	}
@@ -92,6 +92,11 @@
 	return s.Name
 }
 
+// left writes the share of the budget that is left.
+func (o Objective) left() (text string) {
+	return fmt.Sprintf("%.1f%%", 100*o.Left)
+}
+
 // percentDigits is the precision of a percentage.
 const percentDigits = 5
 
--- a/state/tallier/tallier_test.go
+++ b/state/tallier/tallier_test.go
@@ -249,6 +249,21 @@
 	}
 }
 
+// BenchmarkSnapshot measures what one flush costs the daemon.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, accounts := range []int{10, 1_000, 50_000} {
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			held := fill(accounts)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := json.Marshal(held.Snapshot(time.Now())); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
 // fill returns a tallier whose buckets are as full as they get.
 func fill(accounts int) (held *tallier.Tallier) {
 	held = tallier.New(member)
