--- a/transport/receiver/outcome_test.go
+++ b/transport/receiver/outcome_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/forwarder"
 	"github.com/banyanplank/banyanplank/transport/receiver"
 )
 
@@ -32,13 +33,14 @@
 
 // paced is an answer, or a refusal, that takes its time.
 type paced struct {
+	recorded
 	refusal error
 	waits   []time.Duration
 	end     error
 	status  int
 }
 
-func (p *paced) Forward(ctx context.Context, _ *banyanplank.Request) (answer banyanplank.Answer, err error) {
+func (p *paced) Forward(ctx context.Context, _ *banyanplank.Request, _ *forwarder.Place) (delivery forwarder.Delivery, err error) {
 	if p.refusal != nil {
 		return nil, p.refusal
 	}
@@ -68,6 +70,10 @@
 	return banyanplank.Part{Offset: uint64(a.next - 1), Data: []byte("x")}, nil
 }
 
+func (a *pacedAnswer) Place() (place forwarder.Place) {
+	return forwarder.Place{Daemon: "agent/1", Attempt: "r1.0"}
+}
+
 func (a *pacedAnswer) Close() (err error) { return nil }
 
 // slowWriter takes a second to write each part.
