Add the operators' command line

Cause: operators need to check, compare and submit the configuration, move zones, and see what daemons have in force and how fast budgets burn. Conclusion: scripts cover good and bad use of each command against the stand-in platform.

--- /dev/null
+++ b/cmd/banyanplank/script_test.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"os"
+	"os/exec"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/banyanplank/banyanplank/standin/platform"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"banyanplank": main})
+}
+
+const (
+	// platformKey is the bearer key of the stand-in platform.
+	platformKey = "platform-secret"
+	// accountKey is the secret key of a client account.
+	accountKey = "account-secret"
+)
+
+// TestScripts runs the command line as a process against stand-ins in the test
+// process. The commands that the scripts may use, besides the usual ones, are:
+//
+//	code CODE COMMAND...     run the command line and check its exit code
+//	store down|up            break or mend the platform
+//	store lose COUNT         lose the replies of the next writes
+//	store delay TIME         delay the effect of writes
+//	store put NAME FILE      write an object
+//	store zip NAME FILE      write an object, compressed with gzip
+//	serve NAME [PATH FILE]...  serve files as a daemon; sets $NAME to its
+//	                         address; /v1/entries needs the account's key
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata/script",
+		Setup: setUp,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"code":  checkCode,
+			"store": disturb,
+			"serve": serveFiles,
+		},
+	})
+}
+
+type platformKeyOfEnv struct{}
+
+// setUp starts a platform and tells the script's environment where it is.
+func setUp(env *testscript.Env) (err error) {
+	p := platform.New(platform.WithKey(platformKey))
+	server := httptest.NewServer(p.Handler())
+	env.Defer(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	env.Values[platformKeyOfEnv{}] = p
+	env.Setenv("BANYANPLANK_PLATFORM", server.URL)
+	env.Setenv("BANYANPLANK_PLATFORM_KEY", env.WorkDir+"/platform.key")
+	err = os.WriteFile(env.WorkDir+"/platform.key", []byte(platformKey+"\n"), 0o600)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(env.WorkDir+"/account.key", []byte(accountKey), 0o600)
+}
+
+// checkCode runs the command line and checks its exit code.
+func checkCode(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	err = ts.Exec("banyanplank", args[1:]...)
+	got := 0
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		got = exit.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d; stderr: %s", got, want, ts.ReadFile("stderr"))
+	}
+}
+
+// disturb sets the platform's faults, or writes to it.
+func disturb(ts *testscript.TestScript, _ bool, args []string) {
+	p := ts.Value(platformKeyOfEnv{}).(*platform.Platform)
+	switch args[0] {
+	case "down", "up":
+		p.SetDown(args[0] == "down")
+	case "lose":
+		count, err := strconv.Atoi(args[1])
+		ts.Check(err)
+		p.LoseReplies(count)
+	case "delay":
+		delay, err := time.ParseDuration(args[1])
+		ts.Check(err)
+		p.SetDelay(delay, 0)
+	case "put":
+		_, err := p.Put(context.Background(), args[1], []byte(ts.ReadFile(args[2])), 0)
+		ts.Check(err)
+	case "zip":
+		var value bytes.Buffer
+		writer := gzip.NewWriter(&value)
+		_, err := writer.Write([]byte(ts.ReadFile(args[2])))
+		ts.Check(err)
+		ts.Check(writer.Close())
+		_, err = p.Put(context.Background(), args[1], value.Bytes(), 0)
+		ts.Check(err)
+	default:
+		ts.Fatalf("unknown fault %q", args[0])
+	}
+}
+
+// serveFiles serves files at paths, as a daemon does.
+func serveFiles(ts *testscript.TestScript, _ bool, args []string) {
+	files := make(map[string][]byte)
+	for i := 1; i+1 < len(args); i += 2 {
+		files[args[i]] = []byte(ts.ReadFile(args[i+1]))
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, ok := files[r.URL.Path]
+		if !ok {
+			http.NotFound(w, r)
+			return
+		}
+		if r.URL.Path == "/v1/entries" && r.Header.Get("Authorization") != "Bearer "+accountKey {
+			http.Error(w, `{"error":{"outcome":"not run","reason":"forbidden"}}`, http.StatusUnauthorized)
+			return
+		}
+		_, _ = w.Write(body)
+	}))
+	ts.Defer(server.Close)
+	address, err := url.Parse(server.URL)
+	ts.Check(err)
+	ts.Setenv(args[0], address.Host)
+}
--- /dev/null
+++ b/cmd/banyanplank/status.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/daemon"
+)
+
+// statusCommand shows what daemons have in force.
+type statusCommand struct {
+	session  *session
+	Daemons  []string `long:"daemon" value-name:"ADDRESS" description:"operators' address of a daemon; may be given several times"`
+	Revision uint64   `long:"revision" value-name:"REVISION" description:"fail unless every daemon has this revision or a later one in force"`
+}
+
+func statusHelp(s *session) (c command) {
+	return command{
+		name:  "status",
+		short: "Show what daemons have in force",
+		long: `Asks daemons for the revision that they have in force, whether they are ready,
+how many requests they run, and which daemons and zones they know. The zones
+are those of the first daemon that answers.
+
+  banyanplank status --daemon 10.0.0.1:9000 --daemon 10.0.1.1:9000
+
+With --revision the exit code is 1 until all of them have that revision or a
+later one, so that a script can wait for it after "banyanplank apply". It is
+also 1 if a daemon does not answer.`,
+		data: &statusCommand{session: s},
+	}
+}
+
+// statusReport is the JSON form of the result.
+type statusReport struct {
+	Daemons  []daemon.Status `json:"daemons"`
+	Problems []problem       `json:"problems"`
+}
+
+// Execute implements [flags.Commander].
+func (c *statusCommand) Execute([]string) (err error) {
+	addresses, err := parseAddresses("--daemon", c.Daemons)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := c.session.deadline()
+	defer cancel()
+	replies := fetchAll[daemon.Status](ctx, addresses, "/v1/status", "")
+	report := statusReport{Problems: problemsOf(replies)}
+	for _, f := range replies {
+		if f.err == nil {
+			report.Daemons = append(report.Daemons, f.reply)
+		}
+	}
+	c.requireRevision(&report)
+	err = c.session.write(report, report.text())
+	if err == nil && len(report.Problems) > 0 {
+		err = errIncomplete
+	}
+	return err
+}
+
+// requireRevision adds a problem for each daemon that is behind.
+func (c *statusCommand) requireRevision(report *statusReport) {
+	for _, d := range report.Daemons {
+		if d.Revision < banyanplank.Revision(c.Revision) {
+			message := fmt.Sprintf("has revision %s in force, not yet %d", revisionText(d.Revision), c.Revision)
+			report.Problems = append(report.Problems, problem{Address: string(d.Name), Message: message})
+		}
+	}
+}
+
+// text writes the report as tables.
+func (r statusReport) text() (text string) {
+	var b bytes.Buffer
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "DAEMON\tROLE\tZONE\tREVISION\tREADY\tRUNNING\tPEERS")
+	for _, d := range r.Daemons {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%t\t%d\t%s\n",
+			d.Name, d.Role, d.Zone, revisionText(d.Revision), d.Ready, d.Running, countPeers(d.Members))
+	}
+	_ = w.Flush()
+	if len(r.Daemons) > 0 {
+		writeZones(&b, r.Daemons[0])
+	}
+	for _, p := range r.Problems {
+		fmt.Fprintf(&b, "problem: %s: %s\n", p.Address, p.Message)
+	}
+	return b.String()
+}
+
+// countPeers counts members by state, such as "7 live, 1 leaving".
+func countPeers(members []daemon.MemberStatus) (text string) {
+	counts := make(map[string]int)
+	for _, m := range members {
+		counts[m.State]++
+	}
+	text = fmt.Sprintf("%d live", counts[banyanplank.MemberLive.String()])
+	for _, state := range []banyanplank.MemberState{banyanplank.MemberSuspect, banyanplank.MemberLeaving, banyanplank.MemberGone} {
+		if n := counts[state.String()]; n > 0 {
+			text += fmt.Sprintf(", %d %s", n, state)
+		}
+	}
+	return text
+}
+
+// writeZones writes the zones that a daemon knows, and what is left there.
+func writeZones(b *bytes.Buffer, d daemon.Status) {
+	w := tabwriter.NewWriter(b, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "\nZONE\tSTATE\tENTRIES\tAGENTS")
+	for _, z := range d.Zones {
+		state := "in"
+		if z.Out {
+			state = "out"
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", z.Name, state,
+			countRole(d.Members, z.Name, banyanplank.RoleEntry), countRole(d.Members, z.Name, banyanplank.RoleAgent))
+	}
+	_ = w.Flush()
+}
+
+// countRole counts the members of one role that are not gone.
+func countRole(members []daemon.MemberStatus, zone banyanplank.Zone, role banyanplank.Role) (count int) {
+	for _, m := range members {
+		if m.Zone == zone && m.Role == role && m.State != banyanplank.MemberGone.String() {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/cmd/banyanplank/version.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"fmt"
+	"runtime/debug"
+)
+
+// versionCommand prints the build.
+type versionCommand struct {
+	session *session
+}
+
+func versionHelp(s *session) (c command) {
+	return command{
+		name:  "version",
+		short: "Print the version of this program",
+		long:  "Prints the version of this program and of the Go release that built it.",
+		data:  &versionCommand{session: s},
+	}
+}
+
+// build describes this program.
+type build struct {
+	Version string `json:"version"`
+	Go      string `json:"go"`
+	Commit  string `json:"commit,omitempty"`
+}
+
+// Execute implements [flags.Commander].
+func (c *versionCommand) Execute([]string) (err error) {
+	b := build{Version: "unknown"}
+	info, ok := debug.ReadBuildInfo()
+	if ok {
+		b = build{Version: info.Main.Version, Go: info.GoVersion}
+		for _, setting := range info.Settings {
+			if setting.Key == "vcs.revision" {
+				b.Commit = setting.Value
+			}
+		}
+	}
+	return c.session.write(b, fmt.Sprintf("banyanplank %s %s\n", b.Version, b.Go))
+}
