--- a/cmd/banyanplank/status.go
+++ b/cmd/banyanplank/status.go
@@ -22,7 +22,8 @@
 		short: "Show what daemons have in force",
 		long: `Asks daemons for the revision that they have in force, whether they are ready,
 how many requests they run, and which daemons and zones they know. The zones
-are those of the first daemon that answers.
+are those of the first daemon that answers; RUNNING there sums up the daemons
+that you name, so it shows a zone that is out running empty.
 
   banyanplank status --daemon 10.0.0.1:9000 --daemon 10.0.1.1:9000
 
@@ -76,14 +77,14 @@
 func (r statusReport) text() (text string) {
 	var b bytes.Buffer
 	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "DAEMON\tROLE\tZONE\tREVISION\tREADY\tRUNNING\tPEERS")
+	_, _ = fmt.Fprintln(w, "DAEMON\tROLE\tZONE\tREVISION\tREADY\tSTATE\tRUNNING\tPEERS")
 	for _, d := range r.Daemons {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%t\t%d\t%s\n",
-			d.Name, d.Role, d.Zone, revisionText(d.Revision), d.Ready, d.Running, countPeers(d.Members))
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%t\t%s\t%d\t%s\n",
+			d.Name, d.Role, d.Zone, revisionText(d.Revision), d.Ready, stateOf(d), d.Running, countPeers(d.Members))
 	}
 	_ = w.Flush()
 	if len(r.Daemons) > 0 {
-		writeZones(&b, r.Daemons[0])
+		writeZones(&b, r.Daemons)
 	}
 	for _, p := range r.Problems {
 		fmt.Fprintf(&b, "problem: %s: %s\n", p.Address, p.Message)
@@ -106,17 +107,35 @@
 	return text
 }
 
-// writeZones writes the zones that a daemon knows, and what is left there.
-func writeZones(b *bytes.Buffer, d daemon.Status) {
+// stateOf returns what a daemon says of itself, such as "leaving" while it
+// drains.
+func stateOf(d daemon.Status) (state string) {
+	for _, m := range d.Members {
+		if m.Name == d.Name {
+			return m.State
+		}
+	}
+	return "-"
+}
+
+// writeZones writes the zones that the first daemon knows, with what all the
+// daemons still run there.
+func writeZones(b *bytes.Buffer, daemons []daemon.Status) {
+	first := daemons[0]
+	running := make(map[banyanplank.Zone]int)
+	for _, d := range daemons {
+		running[d.Zone] += d.Running
+	}
 	w := tabwriter.NewWriter(b, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "\nZONE\tSTATE\tENTRIES\tAGENTS")
-	for _, z := range d.Zones {
+	_, _ = fmt.Fprintln(w, "\nZONE\tSTATE\tENTRIES\tAGENTS\tRUNNING")
+	for _, z := range first.Zones {
 		state := "in"
 		if z.Out {
 			state = "out"
 		}
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", z.Name, state,
-			countRole(d.Members, z.Name, banyanplank.RoleEntry), countRole(d.Members, z.Name, banyanplank.RoleAgent))
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\n", z.Name, state,
+			countRole(first.Members, z.Name, banyanplank.RoleEntry),
+			countRole(first.Members, z.Name, banyanplank.RoleAgent), running[z.Name])
 	}
 	_ = w.Flush()
 }
--- a/cmd/banyanplank/zone.go
+++ b/cmd/banyanplank/zone.go
@@ -93,13 +93,7 @@
 	if err != nil {
 		return err
 	}
-	var revision banyanplank.Revision
-	for range maxRaces {
-		revision, err = move.submit(ctx, a)
-		if _, raced := accepter.AsConflict(err); !raced {
-			break
-		}
-	}
+	revision, err := move.run(ctx, a)
 	if err != nil {
 		return err
 	}
@@ -111,6 +105,17 @@
 	return s.write(result, fmt.Sprintf("revision %d: zone %s is %s\n", revision, move.zone, state))
 }
 
+// run submits the move and repeats it when another change comes first.
+func (m zoneMove) run(ctx context.Context, a accepted) (revision banyanplank.Revision, err error) {
+	for range maxRaces {
+		revision, err = m.submit(ctx, a)
+		if _, raced := accepter.AsConflict(err); !raced {
+			break
+		}
+	}
+	return revision, err
+}
+
 // submit changes the accepted configuration once.
 func (m zoneMove) submit(ctx context.Context, a accepted) (revision banyanplank.Revision, err error) {
 	current, err := a.Current(ctx)
