Name the base when the outcome of a submission is uncertain

Cause: an uncertain apply that is run again without its base could replace a change that another operator made in between. Change: the message names the base to repeat the command with.

--- a/cmd/banyanplank/apply.go
+++ b/cmd/banyanplank/apply.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/accepter"
 )
@@ -28,14 +30,15 @@
 If another operator's change comes first, nothing is written and the exit code
 is 3. With --base you also refuse changes that came after you looked:
 
-  banyanplank diff fleet.toml              # revision 41, 2 changes
-  banyanplank apply --base 41 fleet.toml   # revision 42
+$ banyanplank diff fleet.toml              # revision 41, 2 changes
+$ banyanplank apply --base 41 fleet.toml   # revision 42
 
 A file that would take a zone out or bring one back is refused unless you say
 --zones, so that an old file does not undo "banyanplank zone out".
 
 If the exit code is 4, the outcome may be uncertain. Run the same command
-again with the same --base: it tells whether the first one took effect.`,
+again with the --base that the message names: it tells whether the first one
+took effect.`,
 		data: &applyCommand{session: s},
 	}
 }
@@ -82,6 +85,10 @@
 		base = banyanplank.Revision(*c.Base)
 	}
 	revision, err := a.Accept(ctx, base, configuration)
+	if errors.Is(err, banyanplank.ErrUncertain) {
+		// Without the base, a second run could replace what came in between.
+		err = errors.Wrapf(err, "run again with --base %d to learn the outcome", base)
+	}
 	if err != nil {
 		return application{}, err
 	}
--- a/cmd/banyanplank/burn.go
+++ b/cmd/banyanplank/burn.go
@@ -37,9 +37,9 @@
 entries that you name and, for all others, from what they stored last, so that
 the report is whole without naming any:
 
-  banyanplank burn
-  banyanplank burn --daemon 10.0.0.1:9000 --daemon 10.0.1.1:9000
-  banyanplank burn --format html --output burn.html
+$ banyanplank burn
+$ banyanplank burn --daemon 10.0.0.1:9000 --daemon 10.0.1.1:9000
+$ banyanplank burn --format html --output burn.html
 
 A burn of 1 spends just the budget. The exit code is 1 if an entry that you
 name does not answer; the report then tells so and counts what it stored last.`,
--- a/cmd/banyanplank/check.go
+++ b/cmd/banyanplank/check.go
@@ -25,7 +25,7 @@
 mistake with its field, its value and what is allowed. It reaches no platform,
 so it fits a hook of your version control:
 
-  banyanplank check fleet.toml`,
+$ banyanplank check fleet.toml`,
 		data: &checkCommand{session: s},
 	}
 }
--- a/cmd/banyanplank/diff.go
+++ b/cmd/banyanplank/diff.go
@@ -22,8 +22,8 @@
 A leading + marks a new item and - one that goes away. The exit code is 0
 whether or not there are changes; scripts read them with --json:
 
-  banyanplank diff fleet.toml
-  banyanplank diff --json fleet.toml | jq .changes`,
+$ banyanplank diff fleet.toml
+$ banyanplank diff --json fleet.toml | jq .changes`,
 		data: &diffCommand{session: s},
 	}
 }
--- a/cmd/banyanplank/entries.go
+++ b/cmd/banyanplank/entries.go
@@ -23,7 +23,7 @@
 prints the answer. Give the secret key of a client account in a file, so that
 it is seen in no list of processes.
 
-  banyanplank entries --entry 10.0.0.1:8080 --key himal.key`,
+$ banyanplank entries --entry 10.0.0.1:8080 --key himal.key`,
 		data: &entriesCommand{session: s},
 	}
 }
--- a/cmd/banyanplank/failure.go
+++ b/cmd/banyanplank/failure.go
@@ -58,8 +58,8 @@
 		return f.Code
 	}
 	_, _ = fmt.Fprintln(stderr, f.Message)
-	if f.Code == codeUncertain && errors.Is(err, banyanplank.ErrUncertain) {
-		_, _ = fmt.Fprintln(stderr, "The change may be in force. Run the same command again to learn the outcome.")
+	if errors.Is(err, banyanplank.ErrUncertain) {
+		_, _ = fmt.Fprintln(stderr, "The change may be in force. Run the command again to learn the outcome.")
 	}
 	return f.Code
 }
--- a/cmd/banyanplank/get.go
+++ b/cmd/banyanplank/get.go
@@ -22,7 +22,7 @@
 writes, with its revision in a comment, so that it can be compared and applied
 again:
 
-  banyanplank get > fleet.toml`,
+$ banyanplank get > fleet.toml`,
 		data: &getCommand{session: s},
 	}
 }
--- a/cmd/banyanplank/main.go
+++ b/cmd/banyanplank/main.go
@@ -31,9 +31,9 @@
 Operators keep the configuration as a TOML file under version control, check
 it, look at what it would change, and submit it:
 
-  banyanplank check fleet.toml
-  banyanplank diff fleet.toml
-  banyanplank apply fleet.toml
+$ banyanplank check fleet.toml
+$ banyanplank diff fleet.toml
+$ banyanplank apply fleet.toml
 
 Commands that reach the platform take its address from --platform or from
 BANYANPLANK_PLATFORM. Each command explains itself: banyanplank apply --help
--- a/cmd/banyanplank/status.go
+++ b/cmd/banyanplank/status.go
@@ -25,7 +25,7 @@
 are those of the first daemon that answers; RUNNING there sums up the daemons
 that you name, so it shows a zone that is out running empty.
 
-  banyanplank status --daemon 10.0.0.1:9000 --daemon 10.0.1.1:9000
+$ banyanplank status --daemon 10.0.0.1:9000 --daemon 10.0.1.1:9000
 
 With --revision the exit code is 1 until all of them have that revision or a
 later one, so that a script can wait for it after "banyanplank apply". It is
--- a/cmd/banyanplank/zone.go
+++ b/cmd/banyanplank/zone.go
@@ -38,8 +38,8 @@
 there goes on to its end. It changes nothing else, so it never conflicts with
 another operator's change of something else.
 
-  banyanplank zone out langtang-a
-  banyanplank status --daemon 10.0.0.1:9000
+$ banyanplank zone out langtang-a
+$ banyanplank status --daemon 10.0.0.1:9000
 
 The last zone in service is refused unless you say --force.`,
 		data: &zoneOutCommand{session: s},
@@ -53,7 +53,7 @@
 		long: `Brings a zone back into service. Its endpoints get work again as their agents
 find them ready.
 
-  banyanplank zone in langtang-a`,
+$ banyanplank zone in langtang-a`,
 		data: &zoneInCommand{session: s},
 	}
 }
