--- a/state/tallier/encoding.go
+++ b/state/tallier/encoding.go
@@ -83,6 +83,9 @@
 	return nil
 }
 
+// maxCalls bounds the calls of one cell, so that sums do not overflow.
+const maxCalls = 1 << 48
+
 // spans are the resolutions that a bucket may have.
 var spans = []time.Duration{Minute, FiveMinutes, Hour}
 
@@ -96,7 +99,7 @@
 		if max(r[0], r[1]) >= uint64(len(names)) {
 			return Bucket{}, errors.Newf("cell refers to name %d of %d", max(r[0], r[1]), len(names))
 		}
-		if r[3]+r[4] > r[2] {
+		if r[2] > maxCalls || r[3] > r[2] || r[4] > r[2]-r[3] {
 			return Bucket{}, errors.Newf("cell counts %d failed and %d slow of %d calls", r[3], r[4], r[2])
 		}
 		bucket.Cells = append(bucket.Cells, Cell{
--- a/state/tallier/tallier_test.go
+++ b/state/tallier/tallier_test.go
@@ -285,3 +285,25 @@
 	}
 	return held
 }
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"daemon":"e","names":["chat","himal"],"buckets":[{"start":0,"span":60,"cells":[[0,1,2,1,0]]}]}`))
+	f.Add([]byte(`{"names":["a"],"buckets":[{"start":0,"span":60,"cells":[[0,0,18446744073709551615,18446744073709551615,1]]}]}`))
+	f.Add([]byte(`{"names":["a"],"buckets":[{"start":9223372036854775800,"span":3600,"cells":[]}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		is := is.New(t)
+		var tally tallier.Tally
+		if json.Unmarshal(text, &tally) != nil {
+			is.Equal(len(tally.Buckets), 0)
+			return
+		}
+		for _, b := range tally.Buckets {
+			for _, c := range b.Cells {
+				is.True(c.Failed <= c.Calls && c.Slow <= c.Calls-c.Failed)
+			}
+		}
+		held := tallier.New(member)
+		held.Restore(time.Unix(1_800_000_000, 0), tally)
+		held.Snapshot(time.Unix(1_800_000_000, 0))
+	})
+}
