End watches after five seconds so that silent connections show

Cause: a watch waited up to 60 s, so a connection that went silent hid every change for a minute, against 13 s in which changes must be in force. Change: the client asks the platform to end a watch after a wait of 5 s and gives up 5 s later; it also keeps 16 idle connections instead of 2. Conclusion: a silent connection is replaced within 10 s.

--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/julienschmidt/httprouter"
@@ -21,7 +22,8 @@
 //	PUT    /v1/objects/NAME            If-Match: "VERSION" or If-None-Match: *
 //	DELETE /v1/objects/NAME            If-Match: "VERSION"
 //	GET    /v1/list?prefix=P           storer.Listing
-//	GET    /v1/watch?prefix=P&after=V  storer.Listing, when something changed
+//	GET    /v1/watch?prefix=P&after=V&wait=T  storer.Listing, when something
+//	                                   changed or T is over
 //	GET    /v1/instances               storer.Roster
 //
 // It answers 404, 412 for a conflict, 413 for a large value, 428 without a
@@ -110,7 +112,12 @@
 		http.Error(w, "after is not a version", http.StatusBadRequest)
 		return
 	}
-	objects, err := p.Watch(r.Context(), query.Get("prefix"), banyanplank.Version(after))
+	wait, err := time.ParseDuration(query.Get("wait"))
+	if err != nil {
+		http.Error(w, "wait is not a duration", http.StatusBadRequest)
+		return
+	}
+	objects, err := p.watch(r.Context(), query.Get("prefix"), banyanplank.Version(after), min(wait, p.wait))
 	if err != nil {
 		fail(w, err)
 		return
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -139,11 +139,16 @@
 // Watch implements [banyanplank.ObjectStore]. A platform that goes down ends
 // waiting watches with [banyanplank.ErrUnavailable].
 func (p *Platform) Watch(ctx context.Context, prefix string, after banyanplank.Version) (objects []banyanplank.Object, err error) {
+	return p.watch(ctx, prefix, after, p.wait)
+}
+
+// watch waits at most for the given time.
+func (p *Platform) watch(ctx context.Context, prefix string, after banyanplank.Version, wait time.Duration) (objects []banyanplank.Object, err error) {
 	err = p.begin(ctx, MethodWatch)
 	if err != nil {
 		return nil, err
 	}
-	deadline := time.Now().Add(p.wait)
+	deadline := time.Now().Add(wait)
 	for time.Now().Before(deadline) {
 		changed := p.shared.changes()
 		if p.faults.isDown() {
--- a/transport/storer/storer.go
+++ b/transport/storer/storer.go
@@ -34,7 +34,9 @@
 
 const (
 	defaultTimeout = 5 * time.Second
-	defaultWait    = time.Minute
+	defaultWait    = 5 * time.Second
+	// idleConnections are kept open for the next calls.
+	idleConnections = 16
 	// maxReply bounds the body of a listing in bytes.
 	maxReply = 64 << 20
 	// maxMessage bounds what is kept of the text of an error reply in bytes.
@@ -66,8 +68,10 @@
 	return func(s *Storer) { s.timeout = timeout }
 }
 
-// WithWait bounds each watch. Use one longer than the platform's own bound, so
-// that only a silent connection reaches it. The default is 60 s.
+// WithWait asks the platform to end each watch after wait without a change. A
+// watch that is not answered within wait and the timeout together has a silent
+// connection and fails. Use a longer one to save calls, a shorter one to notice
+// sooner. The default is 5 s.
 func WithWait(wait time.Duration) Option {
 	return func(s *Storer) { s.wait = wait }
 }
@@ -104,6 +108,7 @@
 func newTransport() (transport *http.Transport) {
 	transport = http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
+	transport.MaxIdleConnsPerHost = idleConnections
 	return transport
 }
 
@@ -159,9 +164,13 @@
 // Watch implements [banyanplank.ObjectStore].
 func (s *Storer) Watch(ctx context.Context, prefix string, after banyanplank.Version) (objects []banyanplank.Object, err error) {
 	defer func() { err = errors.Wrapf(err, "watch objects %q", prefix) }()
-	query := url.Values{"prefix": {prefix}, "after": {strconv.FormatUint(uint64(after), 10)}}
+	query := url.Values{
+		"prefix": {prefix},
+		"after":  {strconv.FormatUint(uint64(after), 10)},
+		"wait":   {s.wait.String()},
+	}
 	var listing Listing
-	err = s.read(ctx, s.wait, call{method: http.MethodGet, path: "/v1/watch", query: query}, &listing)
+	err = s.read(ctx, s.wait+s.timeout, call{method: http.MethodGet, path: "/v1/watch", query: query}, &listing)
 	return listing.objects(), err
 }
 
--- a/transport/storer/storer_test.go
+++ b/transport/storer/storer_test.go
@@ -168,6 +168,27 @@
 	is.Equal(objects, []banyanplank.Object{{Name: "a", Version: version, Value: []byte("1")}})
 }
 
+func TestWatchEndsAfterItsWait(t *testing.T) {
+	is := is.New(t)
+	p, s := serve(t, storer.WithWait(time.Millisecond))
+	objects, err := s.Watch(t.Context(), "a", 0)
+	is.NoErr(err)
+	is.Equal(len(objects), 0)
+	is.Equal(p.Calls().Watch, 1)
+}
+
+func TestSilentConnectionFailsWatch(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	s, err := storer.New("http://"+listener.Addr().String(), storer.WithWait(time.Millisecond), storer.WithTimeout(time.Millisecond))
+	is.NoErr(err)
+	_, err = s.Watch(t.Context(), "a", 0)
+	is.True(errors.Is(err, banyanplank.ErrUnavailable))
+	is.True(errors.Is(err, context.DeadlineExceeded))
+}
+
 func TestWatchEndsWithItsContext(t *testing.T) {
 	is := is.New(t)
 	_, s := serve(t)
