Drive the command line against a real entry

Cause: status, entries and burn had only met files served as a daemon's answers. Change: a script starts an entry, makes calls that fail, and follows their counts through a planned stop and a restart into the burn report.

--- a/cmd/banyanplank/script_test.go
+++ b/cmd/banyanplank/script_test.go
@@ -41,6 +41,9 @@
 //	store zip NAME FILE      write an object, compressed with gzip
 //	serve NAME [PATH FILE]...  serve files as a daemon; sets $NAME to its
 //	                         address; /v1/entries needs the account's key
+//	entry NAME               start an entry; sets $NAME_CALLER and $NAME_ADMIN
+//	halt NAME                stop an entry as planned
+//	call ADDRESS COUNT KEY STATUS  make model calls that end with a status
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:   "testdata/script",
@@ -49,6 +52,9 @@
 			"code":  checkCode,
 			"store": disturb,
 			"serve": serveFiles,
+			"entry": startEntry,
+			"halt":  stopEntry,
+			"call":  callEntry,
 		},
 	})
 }
@@ -64,6 +70,7 @@
 		server.Close()
 	})
 	env.Values[platformKeyOfEnv{}] = p
+	env.Values[entriesOfEnv{}] = make(entries)
 	env.Setenv("BANYANPLANK_PLATFORM", server.URL)
 	env.Setenv("BANYANPLANK_PLATFORM_KEY", env.WorkDir+"/platform.key")
 	err = os.WriteFile(env.WorkDir+"/platform.key", []byte(platformKey+"\n"), 0o600)
