--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -35,6 +35,7 @@
 		receiver.WithTimeout(time.Duration(d.settings.Limits.Timeout)),
 		receiver.WithReady(e.ready),
 		receiver.WithBodies(newHolder(d)),
+		receiver.WithOutcomes(d.tallier),
 	)
 	e.server = receiver.NewServer(e.count(handler))
 	return e
@@ -66,7 +67,9 @@
 }
 
 func (e *entry) renew(now time.Time, members []banyanplank.Member) {
-	e.picker.Renew(now, members, e.daemon.keeper.View().Configuration)
+	configuration := e.daemon.keeper.View().Configuration
+	e.picker.Renew(now, members, configuration)
+	e.daemon.tallier.Renew(configuration)
 	e.known.Store(true)
 }
 
--- a/state/loader/loader_test.go
+++ b/state/loader/loader_test.go
@@ -1,6 +1,7 @@
 package loader_test
 
 import (
+	"reflect"
 	"strings"
 	"testing"
 
@@ -100,7 +101,7 @@
 		if !errors.As(err, &wrong) || len(wrong.Mistakes) == 0 {
 			t.Fatalf("error without mistakes: %v", err)
 		}
-		if settings != (loader.Settings{}) {
+		if !reflect.DeepEqual(settings, loader.Settings{}) {
 			t.Fatalf("part of a refused file was kept: %+v", settings)
 		}
 	})
