--- a/transport/dialer/call.go
+++ b/transport/dialer/call.go
@@ -143,7 +143,9 @@
 		}
 		return c.stream.Send(&carrier.Up{Body: &carrier.Up_Ping{Ping: &carrier.Ping{Number: number}}})
 	})
-	if err != nil {
+	// An agent that has sent everything takes no more probes. Whether the
+	// connection is broken is for receive to tell.
+	if errors.Is(err, prober.ErrSilent) {
 		c.cancel(err)
 	}
 }
@@ -190,9 +192,7 @@
 // Next implements [forwarder.Answer]. Any error but [io.EOF] is a
 // [*banyanplank.Refusal].
 func (c *call) Next() (part banyanplank.Part, err error) {
-	if err := c.pass(); err != nil {
-		return part, refuse(err)
-	}
+	c.pass()
 	down, err := c.pop()
 	if err != nil {
 		return part, refuse(err)
@@ -215,14 +215,15 @@
 	}
 }
 
-// pass counts the latest part as passed on to the caller.
-func (c *call) pass() (err error) {
+// pass counts the latest part as passed on to the caller. An agent that has
+// sent everything takes no more acknowledgments; receive tells of a broken
+// connection.
+func (c *call) pass() {
 	c.acked.Store(c.passed)
-	if c.unacked < ackBytes {
-		return nil
+	if c.unacked >= ackBytes {
+		c.unacked = 0
+		_ = c.sendAck(c.passed)
 	}
-	c.unacked = 0
-	return c.sendAck(c.passed)
 }
 
 // End implements [forwarder.Answer].
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -40,6 +40,7 @@
 // carries one call at a time.
 type Dialer struct {
 	config *tls.Config
+	open   func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	pool   *drpcpool.Pool[netip.AddrPort, *drpcconn.Conn]
 	report func(banyanplank.LoadReport)
 	// detached tells that ended calls leave their requests running.
@@ -55,6 +56,12 @@
 	return func(d *Dialer) { d.config = config }
 }
 
+// WithConnect opens connections with open in place of TCP. Use it in tests. The
+// default dials TCP.
+func WithConnect(open func(ctx context.Context, address netip.AddrPort) (net.Conn, error)) Option {
+	return func(d *Dialer) { d.open = open }
+}
+
 // WithReport calls report with each load report that comes with an answer.
 // Use it to feed a picker. The default drops them.
 func WithReport(report func(banyanplank.LoadReport)) Option {
@@ -66,6 +73,7 @@
 	d := &Dialer{
 		pool:   drpcpool.New[netip.AddrPort, *drpcconn.Conn](drpcpool.Options{Expiration: idleTimeout}),
 		report: func(banyanplank.LoadReport) {},
+		open:   dialTCP,
 	}
 	for _, option := range options {
 		option(d)
@@ -101,13 +109,28 @@
 	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: ManagerOptions()}), nil
 }
 
+// connect opens a connection, secured if the settings say so.
 func (d *Dialer) connect(ctx context.Context, address netip.AddrPort) (conn net.Conn, err error) {
-	var plain net.Dialer
-	if d.config == nil {
-		return plain.DialContext(ctx, "tcp", address.String())
+	plain, err := d.open(ctx, address)
+	if err != nil || d.config == nil {
+		return plain, err
 	}
-	secure := tls.Dialer{NetDialer: &plain, Config: d.config}
-	return secure.DialContext(ctx, "tcp", address.String())
+	config := d.config.Clone()
+	if config.ServerName == "" {
+		config.ServerName = address.Addr().String()
+	}
+	secure := tls.Client(plain, config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = plain.Close()
+		return nil, err
+	}
+	return secure, nil
+}
+
+// dialTCP opens a TCP connection.
+func dialTCP(ctx context.Context, address netip.AddrPort) (conn net.Conn, err error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address.String())
 }
 
 // ManagerOptions returns the limits that both ends of a connection use.
