--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -30,11 +30,8 @@
 }
 
 func newAgent(d *Daemon) (a *agent, err error) {
-	a = &agent{
-		daemon:   d,
-		endpoint: invoker.New(d.settings.Endpoint.Address),
-		admitter: newAdmitter(d.settings, d.member),
-	}
+	guard := newGuard(d.settings, d.member, invoker.New(d.settings.Endpoint.Address))
+	a = &agent{daemon: d, endpoint: guard.Endpoint(), admitter: guard}
 	a.runner = newRunner(d, a.endpoint, a.admitter)
 	return a, d.listener.HandleCalls(a)
 }
@@ -58,6 +55,7 @@
 func (a *agent) serve(ctx context.Context) (err error) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
+	a.observe(ctx)
 	for {
 		select {
 		case <-ctx.Done():
--- a/transport/dialer/call.go
+++ b/transport/dialer/call.go
@@ -19,6 +19,9 @@
 // a fraction of the window that agents keep.
 const ackBytes = 4 << 10
 
+// closeTimeout bounds the wait for the agent's close after its last message.
+const closeTimeout = time.Second
+
 // call is the answer of one open call. One goroutine always reads, so that
 // probes are answered however slowly the caller reads; the agent's window
 // bounds what waits here.
@@ -33,6 +36,8 @@
 	prober  *prober.Prober
 	group   conc.WaitGroup
 	closing sync.Once
+	// received is closed when nothing more comes from the agent.
+	received chan struct{}
 
 	// The fields below belong to the goroutine that calls Next.
 	end     banyanplank.End
@@ -58,6 +63,8 @@
 		cancel: cancel,
 		prober: prober.New(time.Now()),
 		ready:  make(chan struct{}, 1),
+
+		received: make(chan struct{}),
 	}
 	c.group.Go(c.receive)
 	c.group.Go(c.probe)
@@ -66,6 +73,7 @@
 
 // receive reads until the stream ends.
 func (c *call) receive() {
+	defer close(c.received)
 	for {
 		down, err := c.stream.Recv()
 		if err != nil {
@@ -254,10 +262,23 @@
 func (c *call) finish(stop func()) {
 	c.closing.Do(func() {
 		c.stopWatch()
-		sound := c.ended.Load()
+		sound := c.ended.Load() && c.awaitClose()
 		stop()
 		c.group.Wait()
 		_ = c.stream.Close()
 		c.release(sound)
 	})
 }
+
+// awaitClose waits for the agent's close, which follows its last message. A
+// call that is canceled before that takes its connection down with it.
+func (c *call) awaitClose() (closed bool) {
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	select {
+	case <-c.received:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -147,16 +147,11 @@
 // have gone silent too. The error is a [*banyanplank.Refusal].
 func (d *Dialer) Open(ctx context.Context, member banyanplank.Member, request *banyanplank.Request, fresh bool) (answer forwarder.Answer, err error) {
 	defer func() { err = refuse(err) }()
-	conn, err := d.take(ctx, member.Peer, fresh)
-	if err != nil {
-		return nil, err
-	}
 	// The stream outlives ctx, so that the agent can be told why it ended.
 	inner, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
-	stream, err := carrier.NewDRPCCarrierClient(conn).Call(inner)
+	conn, stream, err := d.call(ctx, inner, member.Peer, fresh)
 	if err != nil {
 		cancel(err)
-		_ = conn.Close()
 		return nil, err
 	}
 	c := newCall(inner, cancel, d, stream)
@@ -174,6 +169,25 @@
 	return c, nil
 }
 
+// call opens a stream in inner on a connection to the peer. A connection from
+// the pool may have closed meanwhile: a fresh one is dialed then. The request
+// is not sent yet, so every error is a [*dialError].
+func (d *Dialer) call(ctx, inner context.Context, address netip.AddrPort, fresh bool) (conn *drpcconn.Conn, stream carrier.DRPCCarrier_CallClient, err error) {
+	conn, err = d.take(ctx, address, fresh)
+	if err != nil {
+		return nil, nil, err
+	}
+	stream, err = carrier.NewDRPCCarrierClient(conn).Call(inner)
+	if err == nil {
+		return conn, stream, nil
+	}
+	_ = conn.Close()
+	if !fresh {
+		return d.call(ctx, inner, address, true)
+	}
+	return nil, nil, &dialError{cause: err}
+}
+
 // Identify asks the agent at the member's address which run of it answers. The
 // error is a [*banyanplank.Refusal].
 func (d *Dialer) Identify(ctx context.Context, member banyanplank.Member) (incarnation banyanplank.Incarnation, err error) {
