--- a/coordination/forwarder/world_test.go
+++ b/coordination/forwarder/world_test.go
@@ -104,12 +104,28 @@
 	}
 	for range entries {
 		w.entries = append(w.entries, forwarder.New(&turns{world: w}, w,
-			forwarder.WithClaimer(claimer.New(faulty{world: w, ObjectStore: w.platform})),
+			forwarder.WithClaimer(w.claimer()),
 			forwarder.WithLocator(w.locate)))
 	}
 	return w
 }
 
+// claimer returns the claimer of one entry.
+func (w *world) claimer() forwarder.Claimer {
+	return claimer.New(faulty{world: w, ObjectStore: w.platform})
+}
+
+// dying opens links that can be dropped as when their entry dies.
+type dying struct {
+	*world
+	link forwarder.Answer
+}
+
+func (d *dying) Open(ctx context.Context, member banyanplank.Member, request *banyanplank.Request, fresh bool) (answer forwarder.Answer, err error) {
+	d.link, err = d.world.Open(ctx, member, request, fresh)
+	return d.link, err
+}
+
 // next returns the fault of the next message, from the script for its kind or
 // from the plan for all.
 func (w *world) next(at point) (f fault) {
--- a/daemon/slow_test.go
+++ b/daemon/slow_test.go
@@ -155,6 +155,24 @@
 	return 0
 }
 
+// heldBytes returns what the agent says that it holds.
+func (p *path) heldBytes(t testing.TB) (held float64) {
+	t.Helper()
+	is := is.New(t)
+	response, err := http.Get("http://" + p.agent.Listen.Admin.String() + "/metrics")
+	is.NoErr(err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	for line := range strings.Lines(string(text)) {
+		if strings.HasPrefix(line, "banyanplank_held_bytes") {
+			held, err = strconv.ParseFloat(strings.Fields(line)[1], 64)
+			is.NoErr(err)
+		}
+	}
+	return held
+}
+
 // ask sends one call and reads nothing of its answer.
 func ask(t testing.TB, address netip.AddrPort) (conn net.Conn) {
 	t.Helper()
@@ -198,7 +216,7 @@
 			endpoint := &paced{}
 			p := newPath(b, endpoint)
 			p.agent.Endpoint.Capacity = 1 << 30
-			measureSlow(b, endpoint, p.entry.Listen.Caller, p.startProcesses(b), readers)
+			measureSlow(b, p, endpoint, p.startProcesses(b), readers)
 		})
 		b.Run(fmt.Sprintf("plain/%d", readers), func(b *testing.B) {
 			endpoint := &paced{}
@@ -209,16 +227,16 @@
 			p := &path{}
 			p.entry.Listen.Caller = address
 			p.await(b)
-			measureSlow(b, endpoint, address, []int{process}, readers)
+			measureSlow(b, p, endpoint, []int{process}, readers)
 		})
 	}
 }
 
-func measureSlow(b *testing.B, endpoint *paced, address netip.AddrPort, processes []int, readers int) {
+func measureSlow(b *testing.B, p *path, endpoint *paced, processes []int, readers int) {
 	idle, kernel := resident(b, processes), kernelBytes(b)
 	conns := make([]net.Conn, readers)
 	for i := range conns {
-		conns[i] = ask(b, address)
+		conns[i] = ask(b, p.entry.Listen.Caller)
 	}
 	ticker := time.NewTicker(slowBeat)
 	defer ticker.Stop()
@@ -229,6 +247,9 @@
 	free := endpoint.finished()
 	b.ReportMetric(float64(resident(b, processes)-idle)/float64(readers), "resident-B/stream")
 	b.ReportMetric(float64(kernelBytes(b)-kernel)/float64(readers), "kernel-B/stream")
+	if p.agent.Listen.Admin.IsValid() {
+		b.ReportMetric(p.heldBytes(b)/float64(readers), "held-B/stream")
+	}
 	whole := readAll(conns)
 	is.New(b).Equal(whole, readers)
 	b.ReportMetric(float64(free), "finished-unread")
