--- a/coordination/planner/ranks.go
+++ b/coordination/planner/ranks.go
@@ -68,20 +68,26 @@
 	return count
 }
 
-// isApart reports whether the replicas on homes, without the rank gone and
-// with the rank added, are spread as evenly as possible over instances and
-// zones around both. Pass -1 for no rank.
+// most returns how many of an expert's replicas may share one place when there
+// are so many places around: never all of them, and at most one more than an
+// even share. Two replicas are always apart.
+func most(replicas, places int) (count int) {
+	if places <= 1 || replicas <= 1 {
+		return replicas
+	}
+	return min((replicas+places-1)/places+1, replicas-1)
+}
+
+// isApart reports whether the replicas on homes, without the rank gone, may get
+// one more on the rank added. Pass -1 for no rank gone.
 func (r *ranks) isApart(homes []uint16, added, gone int) bool {
 	return r.isSpread(homes, r.instance, r.instances, added, gone) &&
 		r.isSpread(homes, r.zone, r.zones, added, gone)
 }
 
 // isSpread checks one kind of place: the one that gains a replica must not
-// hold more than an even share of them.
+// hold too many of them.
 func (r *ranks) isSpread(homes []uint16, place []int, places, added, gone int) bool {
-	if places <= 1 || added < 0 {
-		return true
-	}
 	here, all := 1, 1
 	for _, h := range homes {
 		if int(h) == gone || r.excluded[h] {
@@ -92,18 +98,18 @@
 			here++
 		}
 	}
-	return here <= (all+places-1)/places
+	return here <= most(all, places)
 }
 
 // losesSpread reports whether the replicas on homes without the rank gone
-// leave some instance or zone with more than an even share.
+// leave some instance or zone with too many of them.
 func (r *ranks) losesSpread(homes []uint16, gone int) bool {
 	return r.isCrowded(homes, r.instance, r.instances, gone) ||
 		r.isCrowded(homes, r.zone, r.zones, gone)
 }
 
-// isCrowded reports whether some place other than that of the rank gone holds
-// more than an even share of the replicas that remain.
+// isCrowded reports whether some place holds too many of the replicas that
+// remain without the rank gone.
 func (r *ranks) isCrowded(homes []uint16, place []int, places, gone int) bool {
 	all := 0
 	for _, h := range homes {
@@ -115,7 +121,7 @@
 		return false
 	}
 	for _, h := range homes {
-		if int(h) != gone && !r.excluded[h] && r.countAt(homes, place, place[h], gone) > (all+places-1)/places {
+		if int(h) != gone && !r.excluded[h] && r.countAt(homes, place, place[h], gone) > most(all, places) {
 			return true
 		}
 	}
--- a/coordination/planner/search.go
+++ b/coordination/planner/search.go
@@ -41,6 +41,8 @@
 	swap      bool
 	otherRank int
 	otherSlot int
+	// chain is set when the change is one.
+	chain *chain
 }
 
 // search improves the layer step by step, always at its slowest rank, until
@@ -70,6 +72,9 @@
 	l.tryReplicas(&best, rank, peak, mean, order)
 	l.tryReplacements(&best, rank, peak, mean)
 	l.trySwaps(&best, rank, peak, mean, order)
+	if !best.ok {
+		l.tryChains(&best, rank, peak, mean, order)
+	}
 	return best
 }
 
@@ -212,6 +217,9 @@
 
 // commit carries the change out in the working state.
 func (l *layer) commit(c candidate) (moves []banyanplank.SlotMove) {
+	if c.chain != nil {
+		return l.commitChain(*c.chain)
+	}
 	if !c.swap {
 		l.put(c.rank, c.slot, c.expert)
 		return []banyanplank.SlotMove{l.move(c.rank, c.slot)}
