--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -23,24 +23,29 @@
 	daemon   *Daemon
 	endpoint banyanplank.Endpoint
 	admitter banyanplank.Admitter
-	running  atomic.Int64
-	known    atomic.Bool
+	runner   *runner.Runner
+	// following counts the entries that follow an answer.
+	following atomic.Int64
+	known     atomic.Bool
 }
 
 func newAgent(d *Daemon) (a *agent, err error) {
-	a = &agent{
-		daemon:   d,
-		endpoint: invoker.New(d.settings.Endpoint.Address),
-		admitter: newAdmitter(d.settings, d.member),
-	}
+	guard := newGuard(d.settings, d.member, invoker.New(d.settings.Endpoint.Address))
+	a = &agent{daemon: d, endpoint: guard.Endpoint(), admitter: guard}
+	a.runner = newRunner(d, a.endpoint, a.admitter)
 	return a, d.listener.HandleCalls(a)
 }
 
-// Run implements [listener.Runner] and counts the requests that run.
+// Run implements [listener.Runner] and counts the entries that follow.
 func (a *agent) Run(ctx context.Context, request *banyanplank.Request, sink runner.Sink) (end banyanplank.End, err error) {
-	a.running.Add(1)
-	defer a.running.Add(-1)
-	return runner.New(a.endpoint, a.admitter).Run(ctx, request, sink)
+	a.following.Add(1)
+	defer a.following.Add(-1)
+	return a.runner.Run(ctx, request, sink)
+}
+
+// Identity implements [listener.Runner].
+func (a *agent) Identity() (daemon banyanplank.DaemonID, incarnation banyanplank.Incarnation) {
+	return a.runner.Identity()
 }
 
 // Load implements [listener.Runner].
@@ -50,6 +55,7 @@
 func (a *agent) serve(ctx context.Context) (err error) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
+	a.observe(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -77,20 +83,17 @@
 	a.known.Store(true)
 }
 
-// drain waits until nothing runs.
+// drain waits until nothing runs and every entry has what it follows. At the
+// limit it cancels what still runs.
 func (a *agent) drain(ctx context.Context) {
 	a.admitter.Close(banyanplank.ReasonLeaving)
-	ticker := time.NewTicker(drainInterval)
-	defer ticker.Stop()
-	for a.running.Load() > 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	if !a.daemon.awaitIdle(ctx, a.inFlight) {
+		a.runner.Stop()
 	}
 }
 
-func (a *agent) inFlight() (requests int) { return int(a.running.Load()) }
+func (a *agent) inFlight() (requests int) {
+	return max(a.runner.Running(), int(a.following.Load()))
+}
 
 func (a *agent) ready() (ready bool) { return a.known.Load() }
