--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -13,7 +13,7 @@
 	defaultQueue   = 1024
 	defaultBytes   = 8 << 20
 	defaultFloor   = 1
-	defaultLongest = 4096
+	defaultLongest = 1024
 )
 
 // Admitter implements [banyanplank.Admitter]. Create it with [New].
@@ -82,7 +82,7 @@
 }
 
 // WithLongest sets how many tokens an answer may still grow by that an earlier
-// run of the agent started. The default is 4096.
+// run of the agent started. The default is 1024.
 func WithLongest(tokens int) Option {
 	return func(a *Admitter) { a.machine.residue.longest = tokens }
 }
--- a/coordination/admitter/admitter_test.go
+++ b/coordination/admitter/admitter_test.go
@@ -191,6 +191,26 @@
 	}
 }
 
+func TestPlainServiceWithoutCapacityRunsOneByOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := reported(0)
+		var group conc.WaitGroup
+		started := time.Now()
+		for range 3 {
+			group.Go(func() {
+				grant, err := a.Admit(t.Context(), &banyanplank.Request{Account: "a"})
+				is.NoErr(err)
+				is.Equal(a.Load().Held, 1)
+				time.Sleep(time.Second)
+				grant.Release(true)
+			})
+		}
+		group.Wait()
+		is.Equal(time.Since(started), 3*time.Second)
+	})
+}
+
 func TestPlainServiceCountsSlots(t *testing.T) {
 	is := is.New(t)
 	a := reported(32)
--- a/coordination/admitter/limit.go
+++ b/coordination/admitter/limit.go
@@ -18,12 +18,13 @@
 	// cutEvery is the shortest time between two cuts.
 	cutEvery = 500 * time.Millisecond
 	// pacedShare is the part of the capacity that is kept however slow steps are.
-	pacedShare = 4
+	pacedShare = 8
 	// coldTime is how long a report of cold start counts when no other follows.
 	coldTime = 30 * time.Second
-	// easyShare is the part of the step-time objective, in tenths, below which
-	// the limit may grow.
-	easyShare = 9
+	// easyShare and hardShare are the parts of the step-time objective, in
+	// hundredths, below which the limit may grow and above which it is cut.
+	easyShare = 90
+	hardShare = 96
 )
 
 // limit bounds the tokens that the endpoint may hold.
@@ -66,6 +67,14 @@
 	}
 }
 
+// adopt starts from what the endpoint carries already, when this run of the
+// agent sees it first.
+func (l *limit) adopt(report banyanplank.EndpointReport) {
+	if !report.Cold {
+		l.current = max(l.current, min(l.capacity, report.Held))
+	}
+}
+
 // resize takes in the capacity that the endpoint reports.
 func (l *limit) resize(capacity int) {
 	if capacity <= 0 {
@@ -87,7 +96,7 @@
 	if now.Before(l.coldUntil) || l.capacity == 0 {
 		return
 	}
-	isSlow := l.between > 0 && step*10 > l.between*easyShare
+	isSlow := l.between > 0 && step*100 > l.between*easyShare
 	if isSlow && l.current >= l.pacedBound() {
 		return
 	}
@@ -96,7 +105,7 @@
 
 // cut lowers the limit while steps take longer than the objective.
 func (l *limit) cut(now time.Time, held int, step time.Duration) {
-	if l.between == 0 || step <= l.between || now.Sub(l.cutAt) < cutEvery {
+	if l.between == 0 || step*100 <= l.between*hardShare || now.Sub(l.cutAt) < cutEvery {
 		return
 	}
 	l.cutAt = now
--- a/coordination/admitter/machine.go
+++ b/coordination/admitter/machine.go
@@ -30,10 +30,21 @@
 	// prefilling is the prompt tokens that the endpoint has still to work off.
 	prefilling prefilling
 	closed     banyanplank.Reason
+	// turn counts how often the endpoint turned cold.
+	turn int
 	// decided lists what the latest call decided.
 	decided []decision
 }
 
+// creditShare is the part of the limit that an account may go ahead with after
+// it has used little.
+const creditShare = 4
+
+// startShare is the part of the objective for the first token, in tenths, in
+// which a request must be predicted to start. The rest covers the way to the
+// caller, other attempts and wrong predictions.
+const startShare = 6
+
 // decision is the fate of a request that waited: a nil refusal lets it run.
 type decision struct {
 	ticket  *ticket
@@ -67,8 +78,10 @@
 	// ahead is the prefill work at the start, this request's included.
 	ahead   int
 	tokened time.Time
-	made    int
-	slow    int
+	// turn is the machine's at the start.
+	turn int
+	made int
+	slow int
 	// stream tells that the answer's parts show the endpoint's pace.
 	stream bool
 	// due is when the prompt of a request without a stream counts as read, and
@@ -97,7 +110,7 @@
 	t.latest = request.Deadline
 	t.stream = request.Stream
 	if m.first > 0 && t.stream && !isPlain(request.Demand) {
-		start := now.Add(max(0, m.first-m.pace.prefillTime(t.prompt)))
+		start := now.Add(max(0, m.first*startShare/10-m.pace.prefillTime(t.prompt)))
 		if t.latest.IsZero() || start.Before(t.latest) {
 			t.latest = start
 		}
@@ -135,7 +148,7 @@
 		return nil
 	}
 	if late := now.Add(m.wait(t)).Sub(t.latest); late > 0 {
-		return lateRefusal(late)
+		return lateRefusal(late, "the endpoint cannot start the request in time")
 	}
 	return nil
 }
@@ -143,6 +156,7 @@
 // tick takes in that time has passed.
 func (m *machine) tick(now time.Time) {
 	// An endpoint that never reports is taken as idle in the end.
+	m.queue.credit = float64(m.limit.current) / creditShare
 	m.known = m.known || m.residue.isSettled(now)
 	m.prefilling.expire(now)
 	m.residue.expire(now)
@@ -166,7 +180,11 @@
 
 // free returns the tokens that the limit still allows.
 func (m *machine) free() (tokens int) {
-	return m.limit.current - m.held - m.residue.tokens - m.excess.tokens
+	used := m.held + m.residue.tokens + m.excess.tokens
+	if m.limit.capacity == 0 {
+		return m.limit.current - used
+	}
+	return min(m.limit.current-used, m.limit.capacity-used-m.residue.growth)
 }
 
 // isIdle reports whether the endpoint runs nothing.
@@ -196,6 +214,7 @@
 	m.exclusive = t.alone
 	t.phase = phaseRunning
 	t.started = now
+	t.turn = m.turn
 	t.ahead = m.prefilling.start(now, t, &m.pace)
 }
 
@@ -256,7 +275,7 @@
 	if t.phase != phaseWaiting {
 		return
 	}
-	m.refuseWaiting(t, lateRefusal(now.Sub(t.latest)+m.wait(t)))
+	m.refuseWaiting(t, lateRefusal(now.Sub(t.latest)+m.wait(t), "the request waited in vain"))
 	m.drain(now)
 }
 
@@ -307,7 +326,7 @@
 		m.turnCold()
 		return
 	}
-	m.limit.cut(now, m.held, m.pace.recent)
+	m.limit.cut(now, m.held, m.pace.tail)
 }
 
 // withdraw takes back the start of t, which its caller never used.
@@ -340,16 +359,27 @@
 	case !healthy:
 		m.turnCold()
 	case t.made > 0:
-		m.pace.finish(now.Sub(t.started))
-		m.limit.grow(now, t.tokens, m.pace.recent)
+		m.finishWell(now, t)
 	}
 	m.drain(now)
 }
 
+// finishWell learns from a request that ended well. Work from before the
+// endpoint turned cold tells nothing of what it carries now.
+func (m *machine) finishWell(now time.Time, t *ticket) {
+	m.pace.finish(now.Sub(t.started))
+	if t.turn == m.turn {
+		m.limit.grow(now, t.tokens, m.pace.tail)
+	}
+}
+
 // observe takes in a report of the endpoint.
 func (m *machine) observe(now time.Time, report banyanplank.EndpointReport) {
-	m.known = true
 	m.limit.observe(now, report)
+	if m.boot == "" {
+		m.limit.adopt(report)
+	}
+	m.known = true
 	restarted := m.boot != "" && report.Boot != m.boot
 	m.boot = report.Boot
 	if restarted {
@@ -366,6 +396,7 @@
 
 // turnCold lowers the limit to that of a cold endpoint.
 func (m *machine) turnCold() {
+	m.turn++
 	m.limit.reset()
 	m.pace.forget()
 }
--- a/coordination/admitter/pace.go
+++ b/coordination/admitter/pace.go
@@ -7,8 +7,8 @@
 
 // The detection of a jump in step time.
 const (
-	// jumpFactor is how many times the usual step time makes a step slow.
-	jumpFactor = 3
+	// jumpFactor is how many tenths of the usual step time make a step slow.
+	jumpFactor = 25
 	// jumpSteps is the number of slow steps in a row, of one request, that
 	// tell of a cold endpoint.
 	jumpSteps = 5
@@ -17,6 +17,8 @@
 	// leastSamples is the number of steps after which a usual step time is
 	// known.
 	leastSamples = 32
+	// tailSteps is how many steps above the tail raise it by its own size.
+	tailSteps = 256
 	// batches is the number of batch sizes told apart, each twice the last.
 	batches = 16
 )
@@ -32,8 +34,9 @@
 	// usual holds the step times by the logarithm of the batch size, because a
 	// larger batch takes longer without any fault.
 	usual [batches]usual
-	// recent is the average of the latest steps.
+	// recent is the average of the latest steps, tail their 95th percentile.
 	recent time.Duration
+	tail   time.Duration
 	// prefill is in prompt tokens a second.
 	prefill float64
 	// hold is the average time for which a request holds its tokens.
@@ -46,9 +49,10 @@
 // slow.
 func (p *pace) step(d time.Duration, batch int) (slow bool) {
 	if p.recent == 0 {
-		p.recent = d
+		p.recent, p.tail = d, d
 	}
 	p.recent += (d - p.recent) / 8
+	p.track(d)
 	if p.isSlow(d, batch) {
 		return true
 	}
@@ -58,6 +62,15 @@
 	return false
 }
 
+// track moves the tail so that one step in twenty is above it.
+func (p *pace) track(d time.Duration) {
+	if d > p.tail {
+		p.tail += 19 * p.tail / (20 * tailSteps)
+		return
+	}
+	p.tail -= p.tail / (20 * tailSteps)
+}
+
 // class returns the place of a batch size in the usual step times.
 func class(batch int) int {
 	return min(batches-1, bits.Len(uint(batch)))
@@ -78,7 +91,7 @@
 // isSlow reports whether d is far above the usual step time of a batch.
 func (p *pace) isSlow(d time.Duration, batch int) bool {
 	expected := p.expected(batch)
-	return expected > 0 && d > jumpFactor*expected
+	return expected > 0 && d*10 > jumpFactor*expected
 }
 
 // report takes in the step time of a report and reports whether it tells of a
--- a/coordination/admitter/queue.go
+++ b/coordination/admitter/queue.go
@@ -122,10 +122,13 @@
 	forgotten []*account
 	waiting   order
 	virtual   float64
-	sweepAt   int
-	count     int
-	bytes     int
-	prompts   int
+	// credit is how far the tag of an account that used little may stay behind
+	// the virtual time, in tokens. Its next requests go first for as much.
+	credit  float64
+	sweepAt int
+	count   int
+	bytes   int
+	prompts int
 }
 
 func newQueue() *queue {
@@ -145,7 +148,7 @@
 		q.sweep()
 	}
 	a := q.spare()
-	*a = account{id: id, share: q.shareOf(id), tag: q.virtual, index: idle}
+	*a = account{id: id, share: q.shareOf(id), tag: q.virtual - q.credit, index: idle}
 	q.accounts[id] = a
 	return a
 }
@@ -181,11 +184,16 @@
 	q.sweepAt = max(leastSweep, 2*len(q.accounts))
 }
 
+// start returns the virtual time at which the next request of a would start.
+func (q *queue) start(a *account) float64 {
+	return max(a.tag, q.virtual-q.credit)
+}
+
 // push adds t behind the other requests of its account.
 func (q *queue) push(t *ticket) {
 	a := t.account
 	if a.count == 0 {
-		a.tag = max(a.tag, q.virtual)
+		a.tag = q.start(a)
 	}
 	a.insert(t)
 	q.count++
@@ -219,8 +227,8 @@
 // charge accounts for the start of t, which takes tokens.
 func (q *queue) charge(t *ticket, tokens int) {
 	a := t.account
-	start := max(a.tag, q.virtual)
-	q.virtual = start
+	start := q.start(a)
+	q.virtual = max(q.virtual, start)
 	a.tag = start + a.cost(tokens)
 	if a.index != idle {
 		heap.Fix(&q.waiting, a.index)
@@ -231,7 +239,7 @@
 func (q *queue) ahead(t *ticket) (tokens int) {
 	own := t.account
 	before := own.before(t.priority)
-	start := max(own.tag, q.virtual) + own.cost(before)
+	start := q.start(own) + own.cost(before)
 	for _, a := range q.waiting {
 		if a == own {
 			continue
--- a/coordination/admitter/refusal.go
+++ b/coordination/admitter/refusal.go
@@ -23,12 +23,12 @@
 	return min(mostRetry, max(leastRetry, whole))
 }
 
-func lateRefusal(late time.Duration) *banyanplank.Refusal {
+func lateRefusal(late time.Duration, detail string) *banyanplank.Refusal {
 	return &banyanplank.Refusal{
 		Outcome:    banyanplank.NotRun,
 		Reason:     banyanplank.ReasonDeadline,
 		RetryAfter: retryAfter(late),
-		Detail:     "the endpoint cannot start the request in time",
+		Detail:     detail,
 	}
 }
 
--- a/coordination/admitter/residue.go
+++ b/coordination/admitter/residue.go
@@ -20,8 +20,10 @@
 type residue struct {
 	// longest is the longest answer that such work may still make.
 	longest int
-	tokens  int
-	since   time.Time
+	// tokens is what it holds, growth what it may still come to hold.
+	tokens int
+	growth int
+	since  time.Time
 	// own holds the attempts that this run started while it settled, others
 	// the attempts that it did not start.
 	own    map[banyanplank.AttemptID]bool
@@ -61,13 +63,13 @@
 	}
 	tokens := 0
 	if count > 0 {
-		tokens = report.Held*count/max(count, report.Running) + count*r.longest
+		tokens = max(1, report.Held*count/max(count, report.Running))
 	}
 	if settled {
-		r.tokens = min(r.tokens, tokens)
-	} else {
-		r.tokens = max(r.tokens, tokens)
+		r.tokens, r.growth = tokens, min(r.growth, count*r.longest)
+		return
 	}
+	r.tokens, r.growth = max(r.tokens, tokens), max(r.growth, count*r.longest)
 }
 
 // count returns how many of the listed attempts are others'.
@@ -85,7 +87,7 @@
 
 // clear forgets all of it, because the endpoint has restarted.
 func (r *residue) clear() {
-	r.tokens = 0
+	r.tokens, r.growth = 0, 0
 	clear(r.others)
 }
 
--- /dev/null
+++ b/coordination/picker/baseline_test.go
@@ -0,0 +1,111 @@
+package picker_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// baseline picks by a simple rule and knows nothing of load.
+type baseline struct {
+	mu      sync.Mutex
+	members []banyanplank.Member
+	running map[banyanplank.DaemonID]int
+	next    int
+	rule    func(b *baseline, allowed []banyanplank.Member) banyanplank.Member
+}
+
+func roundRobin(b *baseline, allowed []banyanplank.Member) banyanplank.Member {
+	b.next++
+	return allowed[b.next%len(allowed)]
+}
+
+func random(source *rand.Rand) func(*baseline, []banyanplank.Member) banyanplank.Member {
+	return func(_ *baseline, allowed []banyanplank.Member) banyanplank.Member {
+		return allowed[source.IntN(len(allowed))]
+	}
+}
+
+func leastConnections(b *baseline, allowed []banyanplank.Member) (least banyanplank.Member) {
+	b.next++
+	least = allowed[b.next%len(allowed)]
+	for _, m := range allowed {
+		if b.running[m.ID] < b.running[least.ID] {
+			least = m
+		}
+	}
+	return least
+}
+
+func (b *baseline) Pick(now time.Time, query banyanplank.Query) (choice banyanplank.Choice, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var allowed []banyanplank.Member
+	for _, m := range b.members {
+		if !slices.Contains(query.Avoid, m.ID) {
+			allowed = append(allowed, m)
+		}
+	}
+	if len(allowed) == 0 {
+		return choice, &banyanplank.Refusal{Outcome: banyanplank.NotRun, Reason: banyanplank.ReasonNoEndpoint}
+	}
+	m := b.rule(b, allowed)
+	b.running[m.ID]++
+	return banyanplank.Choice{Member: m, Demand: query.Demand, At: now}, nil
+}
+
+func (b *baseline) Finish(_ time.Time, choice banyanplank.Choice, _ banyanplank.Result) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running[choice.Member.ID]--
+}
+
+func (b *baseline) Observe(time.Time, banyanplank.LoadReport) {}
+
+func (b *baseline) Renew(_ time.Time, members []banyanplank.Member, _ *banyanplank.Configuration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.members = members
+	b.running = map[banyanplank.DaemonID]int{}
+}
+
+// counting admits up to a number of tokens and refuses the rest, as the first
+// version of the agent did. Without a limit it admits everything.
+type counting struct {
+	banyanplank.Admitter
+	mu    sync.Mutex
+	limit int
+	held  int
+}
+
+func (c *counting) Admit(_ context.Context, request *banyanplank.Request) (grant banyanplank.Grant, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	tokens := request.Demand.Tokens()
+	if c.limit > 0 && c.held+tokens > c.limit {
+		return nil, &banyanplank.Refusal{Outcome: banyanplank.NotRun, Reason: banyanplank.ReasonOverload}
+	}
+	c.held += tokens
+	return &counted{owner: c, tokens: tokens}, nil
+}
+
+func (c *counting) Observe(banyanplank.EndpointReport) {}
+
+func (c *counting) Load() (report banyanplank.LoadReport) { return report }
+
+type counted struct {
+	owner  *counting
+	tokens int
+}
+
+func (g *counted) Progress(int) {}
+
+func (g *counted) Release(bool) {
+	g.owner.mu.Lock()
+	defer g.owner.mu.Unlock()
+	g.owner.held -= g.tokens
+}
--- a/coordination/picker/endpoint.go
+++ b/coordination/picker/endpoint.go
@@ -19,13 +19,20 @@
 	// adapterTime is the time to load an adapter that is not loaded.
 	adapterTime = time.Second
 	// spreadTime is the cost of a full batch, whose steps take longer.
-	spreadTime = 100 * time.Millisecond
+	spreadTime = 700 * time.Millisecond
+	// crowdedShare is the part of the limit above which requests may have to
+	// wait, and crowdedTime the further cost of the rest.
+	crowdedShare = 0.6
+	crowdedTime  = time.Second
 	// incompleteTime is the cost of a group that lacks ranks.
 	incompleteTime = 10 * time.Second
 	// failureTime is how long an endpoint that was not reached is avoided.
 	failureTime = time.Second
 	// mostFailure bounds how long after repeated failures.
 	mostFailure = 16 * time.Second
+	// queueAge is the age at which a report of the queue no longer counts. A
+	// queue of prompts is worked off in a fraction of a second.
+	queueAge = time.Second
 	// freshTime is how long a report counts in full.
 	freshTime = 2 * time.Second
 	// staleTime is the age at which a report no longer counts.
@@ -42,10 +49,12 @@
 	// report is the latest load report, taken in at reported.
 	report   banyanplank.LoadReport
 	reported time.Time
-	// prompts, tokens and count are of own requests since the report.
+	// prompts, tokens and count are of own requests since the report. What is
+	// left of prompts was worked out at drained.
 	prompts int
 	tokens  int
 	count   int
+	drained time.Time
 	// running counts own requests that have not ended.
 	running int
 	// failures counts the latest attempts that did not reach the agent, and
@@ -89,9 +98,24 @@
 	return true
 }
 
-// choose counts in an own request.
-func (e *endpoint) choose(demand banyanplank.Demand) {
-	e.prompts += demand.Prompt
+// queueShare returns how much of the reported queue counts, between 0 and 1.
+func (e *endpoint) queueShare(now time.Time) (share float64) {
+	if e.reported.IsZero() {
+		return 0
+	}
+	return max(0, 1-float64(now.Sub(e.reported))/float64(queueAge))
+}
+
+// pending returns the prompt tokens of own requests that the endpoint has not
+// worked off, at a pace in tokens a second.
+func (e *endpoint) pending(now time.Time, pace float64) (tokens int) {
+	return max(0, e.prompts-int(pace*now.Sub(e.drained).Seconds()))
+}
+
+// choose counts in an own request, given the endpoint's prefill pace.
+func (e *endpoint) choose(now time.Time, pace float64, demand banyanplank.Demand) {
+	e.prompts = e.pending(now, pace) + demand.Prompt
+	e.drained = now
 	e.tokens += size(demand)
 	e.count++
 	e.running++
--- a/coordination/picker/picker.go
+++ b/coordination/picker/picker.go
@@ -121,7 +121,8 @@
 	if best.endpoint == nil {
 		return choice, noEndpoint()
 	}
-	best.endpoint.choose(query.Demand)
+	best.endpoint.choose(now, s.pace(best.endpoint), query.Demand)
+	p.index.Store(best.endpoint.index, query.Demand.Prefix)
 	return banyanplank.Choice{
 		Member: best.endpoint.member,
 		Demand: query.Demand,
@@ -217,9 +218,9 @@
 	}
 	e.finish(now, choice, result)
 	if !result.Started {
+		p.index.Remove(e.index, choice.Demand.Prefix)
 		return
 	}
-	p.index.Store(e.index, choice.Demand.Prefix)
 	if s := p.services[e.member.Service]; s != nil {
 		s.typical.hold += (now.Sub(choice.At) - s.typical.hold) / 32
 	}
--- a/coordination/picker/predict.go
+++ b/coordination/picker/predict.go
@@ -21,10 +21,10 @@
 func (p *Picker) predict(now time.Time, s *service, e *endpoint, query *banyanplank.Query) (start, score time.Duration) {
 	fresh := e.freshness(now)
 	start = p.distance(query.Zone, e.member.Zone)
-	start += prefillTime(s, e, query.Demand, fresh, p.index.Covered(e.index, query.Demand.Prefix))
+	start += prefillTime(now, s, e, query.Demand, p.index.Covered(e.index, query.Demand.Prefix))
 	start += queueTime(s, e, query.Demand, fresh)
 	start += loadTime(e, query.Demand)
-	score = start + e.biasAt(now) + time.Duration(filled(s, e, fresh)*float64(spreadTime))
+	score = start + e.biasAt(now) + crowding(filled(s, e, fresh))
 	if e.member.Zone != query.Zone {
 		score += p.margin
 	}
@@ -33,10 +33,11 @@
 
 // prefillTime predicts the time for the prompts ahead and the part of the own
 // prompt that the cache does not cover.
-func prefillTime(s *service, e *endpoint, demand banyanplank.Demand, fresh float64, covered int) time.Duration {
+func prefillTime(now time.Time, s *service, e *endpoint, demand banyanplank.Demand, covered int) time.Duration {
+	pace := s.pace(e)
 	own := max(0, demand.Prompt-covered*banyanplank.PrefixBlock)
-	queued := blend(fresh, float64(e.report.Queued), float64(s.typical.queued))
-	return seconds((queued + float64(e.prompts+own)) / s.pace(e))
+	queued := blend(e.queueShare(now), float64(e.report.Queued), float64(s.typical.queued))
+	return seconds((queued + float64(e.pending(now, pace)+own)) / pace)
 }
 
 // queueTime predicts the wait until the endpoint has room for the request.
@@ -83,6 +84,13 @@
 	return blend(fresh, own, s.typical.filled+float64(e.tokens)/float64(e.report.Limit))
 }
 
+// crowding returns the cost of a batch that fills a part of the limit. Steps
+// take longer with each request, and near the limit requests wait.
+func crowding(filled float64) time.Duration {
+	over := max(0, filled-crowdedShare)
+	return time.Duration(filled*float64(spreadTime) + over*float64(crowdedTime))
+}
+
 // pace returns the prefill pace of the endpoint, or that of the slowest rank of
 // its group, in tokens a second.
 func (s *service) pace(e *endpoint) float64 {
--- a/coordination/retrier/retrier.go
+++ b/coordination/retrier/retrier.go
@@ -7,8 +7,8 @@
 // others. What is not tried again gets its final answer at once.
 //
 //	r := retrier.New(rand.New(rand.NewPCG(seed, 0)))
-//	r.Fresh()
-//	delay, ok := r.Next(time.Now(), retrier.Attempt{Number: 1, Deadline: deadline}, err)
+//	r.Fresh(account)
+//	delay, ok := r.Next(time.Now(), retrier.Attempt{Account: account, Number: 1, Deadline: deadline}, err)
 //
 // Requests are never hedged. A second copy of a model request costs a whole
 // prefill and its memory when endpoints are short of both, and a copy of a
@@ -29,8 +29,10 @@
 const (
 	// defaultShare is the retries that each fresh request allows.
 	defaultShare = 0.2
-	// defaultBurst is the most retries saved up.
-	defaultBurst = 50
+	// defaultBurst is the most retries that an account saves up.
+	defaultBurst = 10
+	// mostBudgets bounds the accounts in one generation of budgets.
+	mostBudgets = 4096
 	// defaultAttempts bounds the attempts of one request, the first included.
 	defaultAttempts = 3
 	// firstDelay bounds the random delay before the second retry. The first
@@ -42,6 +44,7 @@
 
 // Attempt describes the attempt that has failed.
 type Attempt struct {
+	Account banyanplank.AccountID
 	// Number counts the attempts of the request so far, this one included.
 	Number int
 	// Once tells that the request must not be repeated.
@@ -52,16 +55,20 @@
 	Deadline time.Time
 }
 
-// Retrier holds the retry budget of one entry. Create it with [New]. Its
-// methods may be called from many goroutines.
+// Retrier holds the retry budgets of one entry, one for each client account, so
+// that none uses up another's. Create it with [New]. Its methods may be called
+// from many goroutines.
 type Retrier struct {
 	share    float64
 	burst    float64
 	attempts int
 
-	mu     sync.Mutex
-	random *rand.Rand
-	budget float64
+	mu      sync.Mutex
+	random  *rand.Rand
+	budgets map[banyanplank.AccountID]float64
+	// last holds the budgets of the accounts that were not used since the
+	// latest change of generation.
+	last map[banyanplank.AccountID]float64
 }
 
 // Option configures a [Retrier].
@@ -73,7 +80,7 @@
 	return func(r *Retrier) { r.share = share }
 }
 
-// WithBurst sets how many retries may be saved up. The default is 50.
+// WithBurst sets how many retries an account may save up. The default is 10.
 func WithBurst(retries int) Option {
 	return func(r *Retrier) { r.burst = float64(retries) }
 }
@@ -84,21 +91,43 @@
 	return func(r *Retrier) { r.attempts = count }
 }
 
-// New returns a retrier with a full budget. It draws delays from random.
+// New returns a retrier. Each account begins with one retry. Delays are drawn
+// from random.
 func New(random *rand.Rand, options ...Option) *Retrier {
 	r := &Retrier{share: defaultShare, burst: defaultBurst, attempts: defaultAttempts, random: random}
 	for _, option := range options {
 		option(r)
 	}
-	r.budget = r.burst
+	r.budgets = map[banyanplank.AccountID]float64{}
 	return r
 }
 
-// Fresh counts a request that is not a retry.
-func (r *Retrier) Fresh() {
+// Fresh counts a request of an account that is not a retry.
+func (r *Retrier) Fresh(account banyanplank.AccountID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.budget = min(r.burst, r.budget+r.share)
+	r.set(account, min(r.burst, r.budget(account)+r.share))
+}
+
+// budget returns the retries that an account may make.
+func (r *Retrier) budget(account banyanplank.AccountID) float64 {
+	if budget, ok := r.budgets[account]; ok {
+		return budget
+	}
+	if budget, ok := r.last[account]; ok {
+		return budget
+	}
+	return min(1, r.burst)
+}
+
+// set keeps the budget of an account. Accounts that are not used for two
+// generations are forgotten.
+func (r *Retrier) set(account banyanplank.AccountID, budget float64) {
+	r.budgets[account] = budget
+	if len(r.budgets) >= mostBudgets {
+		r.last = r.budgets
+		r.budgets = make(map[banyanplank.AccountID]float64, mostBudgets)
+	}
 }
 
 // Next tells after which delay to try again, or that err is final. A retry
@@ -113,10 +142,11 @@
 	if !attempt.Deadline.IsZero() && !now.Add(delay).Before(attempt.Deadline) {
 		return 0, false
 	}
-	if r.budget < 1 {
+	budget := r.budget(attempt.Account)
+	if budget < 1 {
 		return 0, false
 	}
-	r.budget--
+	r.set(attempt.Account, budget-1)
 	return delay, true
 }
 
