Carry findings, limits and retry budgets through the daemons

Cause: agents kept their findings to themselves, so that a crashing request could take down one endpoint after another, and nothing held accounts within their limits or retries within a budget.

Change: load reports carry an agent's newest findings to the entries, and a request carries those that name it to the next agent. The entry takes each request off its account's share of the limits, and the forwarder asks the retrier before it goes elsewhere.

Conclusion: TestFindingsTravelWithReportsAndRequests stops a request after two endpoints. Entries without a stream at a dying endpoint hear of it with the next answer from its agent.

--- a/coordination/forwarder/flow.go
+++ b/coordination/forwarder/flow.go
@@ -10,6 +10,7 @@
 
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/arbiter"
+	"github.com/banyanplank/banyanplank/coordination/retrier"
 	"github.com/banyanplank/banyanplank/protocol/assembler"
 )
 
@@ -257,6 +258,9 @@
 	case arbiter.ActionElsewhere:
 		l.drop()
 		l.countOut(refusal)
+		if !l.allowed() {
+			return l.final(refusal)
+		}
 		l.query.Avoid = append(l.query.Avoid, l.member.ID)
 		l.member = banyanplank.Member{}
 		l.doubt = l.doubt || l.sent
@@ -273,6 +277,30 @@
 	}
 }
 
+// allowed asks for one more attempt and waits as long as it must.
+func (l *flow) allowed() (ok bool) {
+	delay, ok := l.forwarder.retrier.Allow(time.Now(), retrier.Attempt{
+		Account:  l.request.Account,
+		Number:   l.attempts,
+		Deadline: l.request.Deadline,
+	})
+	if !ok {
+		return false
+	}
+	l.pause(delay)
+	return true
+}
+
+// final returns what the caller is told when a refusal is not followed by
+// another attempt.
+func (l *flow) final(refusal *banyanplank.Refusal) error {
+	final := *refusal
+	if l.sent || l.doubt {
+		final.Outcome = banyanplank.OutcomeUnknown
+	}
+	return &final
+}
+
 // describe states the case for the arbiter.
 func (l *flow) describe(refusal *banyanplank.Refusal) (c arbiter.Case) {
 	c = arbiter.Case{
@@ -313,7 +341,15 @@
 
 // wait lets some time pass before another connection to the same agent.
 func (l *flow) wait() {
-	timer := time.NewTimer(rejoinWait << min(l.rejoins-1, 5))
+	l.pause(rejoinWait << min(l.rejoins-1, 5))
+}
+
+// pause waits for d or until the request ends.
+func (l *flow) pause(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/claimer"
+	"github.com/banyanplank/banyanplank/coordination/retrier"
 )
 
 // Answer is an answer over one connection.
@@ -43,6 +44,15 @@
 	Move(ctx context.Context, key claimer.Key, from, offer banyanplank.Binding) (binding banyanplank.Binding, err error)
 }
 
+// Retrier bounds how often requests are tried at another agent.
+type Retrier interface {
+	// Fresh counts a request that is not a retry.
+	Fresh(account banyanplank.AccountID)
+	// Allow tells after which delay to make one more attempt, or that there
+	// is none.
+	Allow(now time.Time, attempt retrier.Attempt) (delay time.Duration, ok bool)
+}
+
 // Locator finds a daemon that is not gone.
 type Locator func(id banyanplank.DaemonID) (member banyanplank.Member, ok bool)
 
@@ -60,6 +70,7 @@
 	opener   Opener
 	claimer  Claimer
 	locate   Locator
+	retrier  Retrier
 	zone     banyanplank.Zone
 	attempts int
 }
@@ -91,12 +102,19 @@
 	return func(f *Forwarder) { f.locate = locate }
 }
 
+// WithRetrier bounds retries at other agents by retrier. Use it in every entry.
+// The default bounds only the attempts of each request.
+func WithRetrier(retrier Retrier) Option {
+	return func(f *Forwarder) { f.retrier = retrier }
+}
+
 // New returns a forwarder that chooses with picker and calls through opener.
 func New(picker banyanplank.Picker, opener Opener, options ...Option) *Forwarder {
 	f := &Forwarder{
 		picker:   picker,
 		opener:   opener,
 		claimer:  noClaimer{},
+		retrier:  noRetrier{},
 		locate:   func(banyanplank.DaemonID) (member banyanplank.Member, ok bool) { return member, false },
 		attempts: defaultAttempts,
 	}
@@ -106,6 +124,13 @@
 	return f
 }
 
+// noRetrier bounds nothing.
+type noRetrier struct{}
+
+func (noRetrier) Fresh(banyanplank.AccountID) {}
+
+func (noRetrier) Allow(time.Time, retrier.Attempt) (delay time.Duration, ok bool) { return 0, true }
+
 // noClaimer refuses every key.
 type noClaimer struct{}
 
@@ -144,6 +169,8 @@
 	l := newFlow(ctx, cancel, f, request)
 	if place != nil {
 		l.resume(*place)
+	} else {
+		f.retrier.Fresh(request.Account)
 	}
 	if err := l.begin(); err != nil {
 		_ = l.Close()
--- a/coordination/retrier/retrier.go
+++ b/coordination/retrier/retrier.go
@@ -133,7 +133,16 @@
 // Next tells after which delay to try again, or that err is final. A retry
 // that it allows is taken from the budget.
 func (r *Retrier) Next(now time.Time, attempt Attempt, err error) (delay time.Duration, ok bool) {
-	if attempt.Number >= r.attempts || !mayRepeat(attempt, err) {
+	if !mayRepeat(attempt, err) {
+		return 0, false
+	}
+	return r.Allow(now, attempt)
+}
+
+// Allow is [Retrier.Next] for a caller that has decided that the request may
+// be repeated.
+func (r *Retrier) Allow(now time.Time, attempt Attempt) (delay time.Duration, ok bool) {
+	if attempt.Number >= r.attempts {
 		return 0, false
 	}
 	r.mu.Lock()
--- a/coordination/suspecter/guard.go
+++ b/coordination/suspecter/guard.go
@@ -28,16 +28,19 @@
 	Admitter
 	daemon   banyanplank.DaemonID
 	endpoint banyanplank.Endpoint
-	share    func(Finding)
+	share    func(banyanplank.Finding)
 
 	mu       sync.Mutex
 	suspects *Suspects
 	boot     string
 	// running lists the grants, the latest started first.
 	running []*guarded
+	// recent holds the own findings that load reports carry, told at told.
+	recent []banyanplank.Finding
+	told   time.Time
 	// doubt is a death that no report has confirmed yet, or that one has
 	// denied.
-	doubt  *Finding
+	doubt  *banyanplank.Finding
 	denied bool
 }
 
@@ -46,7 +49,7 @@
 
 // WithShare hands each own finding to share, which passes it to the other
 // daemons. Share must not wait. The default keeps findings to itself.
-func WithShare(share func(Finding)) Option {
+func WithShare(share func(banyanplank.Finding)) Option {
 	return func(g *Guard) { g.share = share }
 }
 
@@ -56,7 +59,7 @@
 		Admitter: admitter,
 		daemon:   daemon,
 		endpoint: endpoint,
-		share:    func(Finding) {},
+		share:    func(banyanplank.Finding) {},
 		suspects: NewSuspects(),
 	}
 	for _, option := range options {
@@ -65,8 +68,28 @@
 	return g
 }
 
+// The findings that load reports carry.
+const (
+	// recentTime is how long they do after the newest.
+	recentTime = 10 * time.Second
+	// mostRecent bounds them.
+	mostRecent = 4
+)
+
+// Load implements [banyanplank.Admitter]. Its report carries the newest
+// findings.
+func (g *Guard) Load() (report banyanplank.LoadReport) {
+	report = g.Admitter.Load()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if time.Since(g.told) < recentTime {
+		report.Findings = slices.Clone(g.recent)
+	}
+	return report
+}
+
 // Learn takes in a finding of another daemon.
-func (g *Guard) Learn(finding Finding) {
+func (g *Guard) Learn(finding banyanplank.Finding) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.suspects.Observe(time.Now(), finding)
@@ -75,7 +98,10 @@
 // Admit implements [banyanplank.Admitter]. A request that becomes a suspect
 // while it waits is admitted anew, alone.
 func (g *Guard) Admit(ctx context.Context, request *banyanplank.Request) (grant banyanplank.Grant, err error) {
-	print := FingerprintOf(request)
+	for _, finding := range request.Findings {
+		g.Learn(finding)
+	}
+	print := request.Fingerprint()
 	verdict, retry := g.judge(print)
 	for {
 		if verdict == VerdictRefused {
@@ -102,7 +128,7 @@
 }
 
 // judge returns the verdict on a request and how long it stays.
-func (g *Guard) judge(print Fingerprint) (verdict Verdict, retry time.Duration) {
+func (g *Guard) judge(print banyanplank.Fingerprint) (verdict Verdict, retry time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -119,7 +145,7 @@
 }
 
 // start counts in a request that runs from now on.
-func (g *Guard) start(grant banyanplank.Grant, attempt banyanplank.AttemptID, print Fingerprint) *guarded {
+func (g *Guard) start(grant banyanplank.Grant, attempt banyanplank.AttemptID, print banyanplank.Fingerprint) *guarded {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := &guarded{Grant: grant, guard: g, attempt: attempt, print: print}
@@ -132,7 +158,7 @@
 	banyanplank.Grant
 	guard    *Guard
 	attempt  banyanplank.AttemptID
-	print    Fingerprint
+	print    banyanplank.Fingerprint
 	began    bool
 	failed   bool
 	released bool
@@ -163,16 +189,23 @@
 	now := time.Now()
 	endedWell := healthy && r.began && !r.failed
 	if endedWell && g.suspects.Judge(now, r.print) == VerdictAlone {
-		g.tell(now, Finding{Kind: FindingCleared, Requests: []Fingerprint{r.print}})
+		g.tell(now, banyanplank.Finding{Kind: banyanplank.FindingCleared, Requests: []banyanplank.Fingerprint{r.print}})
 	}
 	return r.failed
 }
 
 // tell takes in an own finding and shares it.
-func (g *Guard) tell(now time.Time, finding Finding) {
-	if g.suspects.Observe(now, finding) {
-		g.share(finding)
+func (g *Guard) tell(now time.Time, finding banyanplank.Finding) {
+	if !g.suspects.Observe(now, finding) {
+		return
+	}
+	if now.Sub(g.told) >= recentTime {
+		g.recent = nil
 	}
+	g.told = now
+	g.recent = append(g.recent, finding)
+	g.recent = slices.Delete(g.recent, 0, max(0, len(g.recent)-mostRecent))
+	g.share(finding)
 }
 
 // begin marks an attempt as begun at the endpoint.
@@ -199,7 +232,7 @@
 	if g.doubt != nil && !g.denied {
 		return
 	}
-	death := Finding{Kind: FindingDeath, Death: DeathOf(g.daemon, g.boot)}
+	death := banyanplank.Finding{Kind: banyanplank.FindingDeath, Death: banyanplank.NewDeathID(g.daemon, g.boot)}
 	for _, r := range g.running {
 		if r.began {
 			death.Requests = append(death.Requests, r.print)
@@ -231,7 +264,7 @@
 		g.doubt = nil
 	case !g.denied:
 		g.denied = true
-		g.tell(time.Now(), Finding{Kind: FindingWithdrawn, Death: g.doubt.Death, Requests: g.doubt.Requests})
+		g.tell(time.Now(), banyanplank.Finding{Kind: banyanplank.FindingWithdrawn, Death: g.doubt.Death, Requests: g.doubt.Requests})
 	}
 }
 
--- a/coordination/suspecter/guard_test.go
+++ b/coordination/suspecter/guard_test.go
@@ -97,7 +97,7 @@
 }
 
 // newGuard returns a guard before a fake endpoint.
-func newGuard(name string, share func(suspecter.Finding)) (g *suspecter.Guard, f *fake) {
+func newGuard(name string, share func(banyanplank.Finding)) (g *suspecter.Guard, f *fake) {
 	f = &fake{dead: make(chan struct{})}
 	g = suspecter.NewGuard(banyanplank.DaemonID(name), admitter.New(banyanplank.DaemonID(name), 1, admitter.WithColdShare(1)), f,
 		suspecter.WithShare(share))
@@ -152,7 +152,7 @@
 		is := is.New(t)
 		var guards []*suspecter.Guard
 		var fakes []*fake
-		share := func(finding suspecter.Finding) {
+		share := func(finding banyanplank.Finding) {
 			for _, g := range guards {
 				// The own guard holds its lock while it shares.
 				var group conc.WaitGroup
@@ -193,7 +193,7 @@
 func TestSuspectRunsAloneAndIsCleared(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		g, f := newGuard("one", func(suspecter.Finding) {})
+		g, f := newGuard("one", func(banyanplank.Finding) {})
 		var group conc.WaitGroup
 		for _, body := range []string{"good", "bad"} {
 			group.Go(func() { is.True(run(t.Context(), g, body, "a", body) != nil) })
@@ -216,18 +216,36 @@
 	})
 }
 
+func TestFindingsTravelWithReportsAndRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		relay := suspecter.NewRelay()
+		bad := &banyanplank.Request{Account: "a", Body: []byte("bad")}
+		for i, want := range []banyanplank.Reason{"", "", banyanplank.ReasonSuspect} {
+			g, _ := newGuard(fmt.Sprint(i), func(banyanplank.Finding) {})
+			for _, finding := range relay.About(time.Now(), bad.Fingerprint()) {
+				g.Learn(finding)
+			}
+			is.Equal(reasonOf(run(t.Context(), g, fmt.Sprint(i), "a", "bad")), want)
+			relay.Learn(time.Now(), g.Load().Findings)
+		}
+		time.Sleep(time.Hour)
+		is.Equal(len(relay.About(time.Now(), bad.Fingerprint())), 0)
+	})
+}
+
 func TestSuspectWhileItWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		g, f := newGuard("one", func(suspecter.Finding) {})
+		g, f := newGuard("one", func(banyanplank.Finding) {})
 		var group conc.WaitGroup
 		for i := range 161 { // one more than fit
 			group.Go(func() { is.NoErr(run(t.Context(), g, fmt.Sprint(i), "a", "good")) })
 		}
 		synctest.Wait()
 		is.Equal(f.peak(), 160)
-		print := suspecter.FingerprintOf(&banyanplank.Request{Account: "a", Body: []byte("good")})
-		g.Learn(suspecter.Finding{Death: 1, Requests: []suspecter.Fingerprint{print}})
+		print := (&banyanplank.Request{Account: "a", Body: []byte("good")}).Fingerprint()
+		g.Learn(banyanplank.Finding{Death: 1, Requests: []banyanplank.Fingerprint{print}})
 		time.Sleep(1500 * time.Millisecond)
 		f.peak()
 		time.Sleep(100 * time.Millisecond)
@@ -239,25 +257,25 @@
 func TestBrokenAnswerIsNoDeath(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var findings []suspecter.Finding
-		g, f := newGuard("one", func(finding suspecter.Finding) { findings = append(findings, finding) })
+		var findings []banyanplank.Finding
+		g, f := newGuard("one", func(finding banyanplank.Finding) { findings = append(findings, finding) })
 		is.True(run(t.Context(), g, "1", "a", "bad") != nil)
 		f.boot = 0 // the endpoint broke the answer off but lives on
 		report, _ := f.Report(t.Context())
 		g.Observe(report)
 		is.Equal(len(findings), 2)
-		is.Equal(findings[1].Kind, suspecter.FindingWithdrawn)
+		is.Equal(findings[1].Kind, banyanplank.FindingWithdrawn)
 		f.boot = 1 // the report was late
 		report, _ = f.Report(t.Context())
 		g.Observe(report)
 		is.Equal(len(findings), 3)
-		is.Equal(findings[2].Kind, suspecter.FindingDeath)
+		is.Equal(findings[2].Kind, banyanplank.FindingDeath)
 	})
 }
 
 func TestLostEntryIsNoDeath(t *testing.T) {
 	is := is.New(t)
-	g, _ := newGuard("one", func(suspecter.Finding) { t.Error("nothing died") })
+	g, _ := newGuard("one", func(banyanplank.Finding) { t.Error("nothing died") })
 	before := g.Load().Limit
 	request := &banyanplank.Request{Attempt: "1", Account: "a"}
 	grant, err := g.Admit(t.Context(), request)
--- a/coordination/suspecter/suspects.go
+++ b/coordination/suspecter/suspects.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/banyanplank/banyanplank"
 )
 
 // The bounds of what is remembered.
@@ -20,28 +22,6 @@
 	mostDeaths = 4
 )
 
-// FindingKind tells what a finding reports.
-type FindingKind uint8
-
-// The kinds of findings.
-const (
-	// FindingDeath reports which requests an endpoint ran when it died.
-	FindingDeath FindingKind = iota
-	// FindingWithdrawn reports that the endpoint had not died after all.
-	FindingWithdrawn
-	// FindingCleared reports that suspects ran alone and ended well.
-	FindingCleared
-)
-
-// Finding is what daemons tell each other of crashing requests. It takes about
-// 8 bytes for each request that ran.
-type Finding struct {
-	Kind  FindingKind
-	Death DeathID
-	// Requests lists the requests, the latest started first.
-	Requests []Fingerprint
-}
-
 // Verdict tells how a request may run.
 type Verdict uint8
 
@@ -57,9 +37,9 @@
 
 // death is one death at which a request ran.
 type death struct {
-	id DeathID
+	id banyanplank.DeathID
 	// beside lists all requests that ran, the suspect among them.
-	beside []Fingerprint
+	beside []banyanplank.Fingerprint
 }
 
 // suspect is a request that ran when an endpoint died.
@@ -76,7 +56,7 @@
 	}
 	common := slices.Clone(s.deaths[0].beside)
 	for _, d := range s.deaths[1:] {
-		common = slices.DeleteFunc(common, func(f Fingerprint) bool { return !slices.Contains(d.beside, f) })
+		common = slices.DeleteFunc(common, func(f banyanplank.Fingerprint) bool { return !slices.Contains(d.beside, f) })
 	}
 	return len(common) == 1
 }
@@ -84,17 +64,17 @@
 // Suspects remembers the requests that ran when an endpoint died. It is pure
 // and not safe for use by several goroutines at once.
 type Suspects struct {
-	accounts map[uint32]map[Fingerprint]*suspect
+	accounts map[uint32]map[banyanplank.Fingerprint]*suspect
 }
 
 // NewSuspects returns an empty memory.
 func NewSuspects() *Suspects {
-	return &Suspects{accounts: map[uint32]map[Fingerprint]*suspect{}}
+	return &Suspects{accounts: map[uint32]map[banyanplank.Fingerprint]*suspect{}}
 }
 
 // Judge returns how a request may run at now.
-func (s *Suspects) Judge(now time.Time, request Fingerprint) Verdict {
-	found := s.accounts[request.account()][request]
+func (s *Suspects) Judge(now time.Time, request banyanplank.Fingerprint) Verdict {
+	found := s.accounts[request.Account()][request]
 	switch {
 	case found == nil || now.After(found.until):
 		return VerdictFree
@@ -106,24 +86,36 @@
 }
 
 // Retry returns how long a refused request stays refused.
-func (s *Suspects) Retry(now time.Time, request Fingerprint) time.Duration {
-	if found := s.accounts[request.account()][request]; found != nil {
+func (s *Suspects) Retry(now time.Time, request banyanplank.Fingerprint) time.Duration {
+	if found := s.accounts[request.Account()][request]; found != nil {
 		return found.until.Sub(now)
 	}
 	return 0
 }
 
+// About returns the deaths at which a request ran.
+func (s *Suspects) About(now time.Time, request banyanplank.Fingerprint) (findings []banyanplank.Finding) {
+	found := s.accounts[request.Account()][request]
+	if found == nil || now.After(found.until) {
+		return nil
+	}
+	for _, d := range found.deaths {
+		findings = append(findings, banyanplank.Finding{Kind: banyanplank.FindingDeath, Death: d.id, Requests: d.beside})
+	}
+	return findings
+}
+
 // Observe takes in a finding, own or another daemon's, and reports whether it
 // was news. Doubled findings do no harm.
-func (s *Suspects) Observe(now time.Time, finding Finding) (news bool) {
+func (s *Suspects) Observe(now time.Time, finding banyanplank.Finding) (news bool) {
 	finding.Requests = finding.Requests[:min(len(finding.Requests), mostRunning)]
 	for _, request := range finding.Requests {
 		switch finding.Kind {
-		case FindingDeath:
+		case banyanplank.FindingDeath:
 			news = s.accuse(now, request, finding) || news
-		case FindingWithdrawn:
+		case banyanplank.FindingWithdrawn:
 			news = s.withdraw(request, finding.Death) || news
-		case FindingCleared:
+		case banyanplank.FindingCleared:
 			news = s.clear(request) || news
 		}
 	}
@@ -131,7 +123,7 @@
 }
 
 // accuse adds a death to a request.
-func (s *Suspects) accuse(now time.Time, request Fingerprint, finding Finding) (news bool) {
+func (s *Suspects) accuse(now time.Time, request banyanplank.Fingerprint, finding banyanplank.Finding) (news bool) {
 	found := s.suspect(now, request)
 	if found == nil {
 		return false
@@ -150,21 +142,21 @@
 }
 
 // suspect returns the suspect for a request, new if there is room, or nil.
-func (s *Suspects) suspect(now time.Time, request Fingerprint) (found *suspect) {
-	named := s.accounts[request.account()]
+func (s *Suspects) suspect(now time.Time, request banyanplank.Fingerprint) (found *suspect) {
+	named := s.accounts[request.Account()]
 	if found = named[request]; found != nil && !now.After(found.until) {
 		return found
 	}
 	if len(named) >= mostSuspects || named == nil && len(s.accounts) >= mostAccounts {
 		s.Expire(now)
-		named = s.accounts[request.account()]
+		named = s.accounts[request.Account()]
 	}
 	if len(named) >= mostSuspects || named == nil && len(s.accounts) >= mostAccounts {
 		return nil
 	}
 	if named == nil {
-		named = map[Fingerprint]*suspect{}
-		s.accounts[request.account()] = named
+		named = map[banyanplank.Fingerprint]*suspect{}
+		s.accounts[request.Account()] = named
 	}
 	found = &suspect{until: now.Add(expiry)}
 	named[request] = found
@@ -172,8 +164,8 @@
 }
 
 // withdraw takes a death off a request.
-func (s *Suspects) withdraw(request Fingerprint, id DeathID) (news bool) {
-	found := s.accounts[request.account()][request]
+func (s *Suspects) withdraw(request banyanplank.Fingerprint, id banyanplank.DeathID) (news bool) {
+	found := s.accounts[request.Account()][request]
 	if found == nil {
 		return false
 	}
@@ -186,15 +178,15 @@
 }
 
 // clear forgets a request that ended well. One that is found guilty stays.
-func (s *Suspects) clear(request Fingerprint) (news bool) {
-	named := s.accounts[request.account()]
+func (s *Suspects) clear(request banyanplank.Fingerprint) (news bool) {
+	named := s.accounts[request.Account()]
 	found := named[request]
 	if found == nil || found.isGuilty() {
 		return false
 	}
 	delete(named, request)
 	if len(named) == 0 {
-		delete(s.accounts, request.account())
+		delete(s.accounts, request.Account())
 	}
 	return true
 }
--- a/coordination/suspecter/suspects_test.go
+++ b/coordination/suspecter/suspects_test.go
@@ -13,29 +13,31 @@
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func printOf(account, body string) Fingerprint {
-	return FingerprintOf(&banyanplank.Request{Account: banyanplank.AccountID(account), Body: []byte(body)})
+func printOf(account, body string) banyanplank.Fingerprint {
+	return (&banyanplank.Request{Account: banyanplank.AccountID(account), Body: []byte(body)}).Fingerprint()
 }
 
 func TestJudge(t *testing.T) {
 	bad, good, other := printOf("a", "bad"), printOf("a", "good"), printOf("b", "good")
-	fall := func(id DeathID, requests ...Fingerprint) Finding { return Finding{Death: id, Requests: requests} }
+	fall := func(id banyanplank.DeathID, requests ...banyanplank.Fingerprint) banyanplank.Finding {
+		return banyanplank.Finding{Death: id, Requests: requests}
+	}
 	tests := map[string]struct {
-		findings []Finding
+		findings []banyanplank.Finding
 		after    time.Duration
 		bad      Verdict
 		good     Verdict
 	}{
 		"unknown":             {nil, 0, VerdictFree, VerdictFree},
-		"crowd":               {[]Finding{fall(1, bad, good)}, 0, VerdictAlone, VerdictAlone},
-		"doubled":             {[]Finding{fall(1, bad), fall(1, bad)}, 0, VerdictAlone, VerdictFree},
-		"then alone":          {[]Finding{fall(1, bad, good), fall(2, bad)}, 0, VerdictRefused, VerdictAlone},
-		"two crowds":          {[]Finding{fall(1, bad, good), fall(2, other, bad)}, 0, VerdictRefused, VerdictAlone},
-		"same crowd twice":    {[]Finding{fall(1, bad, good), fall(2, bad, good)}, 0, VerdictAlone, VerdictAlone},
-		"cleared":             {[]Finding{fall(1, bad, good), {Kind: FindingCleared, Requests: []Fingerprint{good}}}, 0, VerdictAlone, VerdictFree},
-		"cleared when guilty": {[]Finding{fall(1, bad), fall(2, bad), {Kind: FindingCleared, Requests: []Fingerprint{bad}}}, 0, VerdictRefused, VerdictFree},
-		"withdrawn":           {[]Finding{fall(1, bad, good), {Kind: FindingWithdrawn, Death: 1, Requests: []Fingerprint{bad, good}}}, 0, VerdictFree, VerdictFree},
-		"expired":             {[]Finding{fall(1, bad), fall(2, bad)}, expiry + time.Second, VerdictFree, VerdictFree},
+		"crowd":               {[]banyanplank.Finding{fall(1, bad, good)}, 0, VerdictAlone, VerdictAlone},
+		"doubled":             {[]banyanplank.Finding{fall(1, bad), fall(1, bad)}, 0, VerdictAlone, VerdictFree},
+		"then alone":          {[]banyanplank.Finding{fall(1, bad, good), fall(2, bad)}, 0, VerdictRefused, VerdictAlone},
+		"two crowds":          {[]banyanplank.Finding{fall(1, bad, good), fall(2, other, bad)}, 0, VerdictRefused, VerdictAlone},
+		"same crowd twice":    {[]banyanplank.Finding{fall(1, bad, good), fall(2, bad, good)}, 0, VerdictAlone, VerdictAlone},
+		"cleared":             {[]banyanplank.Finding{fall(1, bad, good), {Kind: banyanplank.FindingCleared, Requests: []banyanplank.Fingerprint{good}}}, 0, VerdictAlone, VerdictFree},
+		"cleared when guilty": {[]banyanplank.Finding{fall(1, bad), fall(2, bad), {Kind: banyanplank.FindingCleared, Requests: []banyanplank.Fingerprint{bad}}}, 0, VerdictRefused, VerdictFree},
+		"withdrawn":           {[]banyanplank.Finding{fall(1, bad, good), {Kind: banyanplank.FindingWithdrawn, Death: 1, Requests: []banyanplank.Fingerprint{bad, good}}}, 0, VerdictFree, VerdictFree},
+		"expired":             {[]banyanplank.Finding{fall(1, bad), fall(2, bad)}, expiry + time.Second, VerdictFree, VerdictFree},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -58,9 +60,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := NewSuspects()
 		now := epoch
-		crashing := map[Fingerprint]bool{}
-		deaths := map[Fingerprint]int{}
-		var requests []Fingerprint
+		crashing := map[banyanplank.Fingerprint]bool{}
+		deaths := map[banyanplank.Fingerprint]int{}
+		var requests []banyanplank.Fingerprint
 		for i := range 8 {
 			print := printOf(fmt.Sprint(i%3), fmt.Sprint(i))
 			crashing[print] = i < 2
@@ -68,7 +70,7 @@
 		}
 		for id := range rapid.IntRange(1, 60).Draw(t, "rounds") {
 			now = now.Add(time.Second)
-			var crowd []Fingerprint
+			var crowd []banyanplank.Fingerprint
 			for _, index := range rapid.SliceOfNDistinct(rapid.IntRange(0, 7), 1, 5, rapid.ID[int]).Draw(t, "crowd") {
 				print := requests[index]
 				switch verdict := s.Judge(now, print); {
@@ -93,11 +95,11 @@
 					fell = true
 				}
 			}
-			kind := FindingCleared
+			kind := banyanplank.FindingCleared
 			if fell {
-				kind = FindingDeath
+				kind = banyanplank.FindingDeath
 			}
-			s.Observe(now, Finding{Kind: kind, Death: DeathID(id + 1), Requests: crowd})
+			s.Observe(now, banyanplank.Finding{Kind: kind, Death: banyanplank.DeathID(id + 1), Requests: crowd})
 		}
 		for print, count := range deaths {
 			if count > 2 {
@@ -111,11 +113,11 @@
 	is := is.New(t)
 	s := NewSuspects()
 	for i := range 10_000 {
-		s.Observe(epoch, Finding{Death: DeathID(i), Requests: []Fingerprint{printOf("flood", fmt.Sprint(i))}})
+		s.Observe(epoch, banyanplank.Finding{Death: banyanplank.DeathID(i), Requests: []banyanplank.Fingerprint{printOf("flood", fmt.Sprint(i))}})
 	}
-	for id := range DeathID(2) {
-		s.Observe(epoch, Finding{Death: id, Requests: []Fingerprint{printOf("small", "bad")}})
+	for id := range banyanplank.DeathID(2) {
+		s.Observe(epoch, banyanplank.Finding{Death: id, Requests: []banyanplank.Fingerprint{printOf("small", "bad")}})
 	}
 	is.Equal(s.Judge(epoch, printOf("small", "bad")), VerdictRefused)
-	is.True(len(s.accounts[printOf("flood", "").account()]) <= mostSuspects)
+	is.True(len(s.accounts[printOf("flood", "").Account()]) <= mostSuspects)
 }
--- a/daemon/delivery.go
+++ b/daemon/delivery.go
@@ -10,6 +10,7 @@
 	"github.com/banyanplank/banyanplank/coordination/claimer"
 	"github.com/banyanplank/banyanplank/coordination/forwarder"
 	"github.com/banyanplank/banyanplank/coordination/runner"
+	"github.com/banyanplank/banyanplank/coordination/suspecter"
 	"github.com/banyanplank/banyanplank/state/holder"
 	"github.com/banyanplank/banyanplank/state/recorder"
 )
@@ -26,8 +27,9 @@
 )
 
 // newForwarder returns what takes an entry's requests to agents.
-func newForwarder(d *Daemon, picker banyanplank.Picker) *forwarder.Forwarder {
-	return forwarder.New(picker, d.dialer,
+func newForwarder(d *Daemon, picker banyanplank.Picker, relay *suspecter.Relay) *forwarder.Forwarder {
+	return forwarder.New(picker, relaying{Opener: d.dialer, relay: relay},
+		forwarder.WithRetrier(newRetrier(d.member)),
 		forwarder.WithZone(d.settings.Zone),
 		forwarder.WithClaimer(claimer.New(d.store)),
 		forwarder.WithLocator(d.locate),
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -12,6 +12,8 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/limiter"
+	"github.com/banyanplank/banyanplank/coordination/suspecter"
 	"github.com/banyanplank/banyanplank/transport/dialer"
 	"github.com/banyanplank/banyanplank/transport/receiver"
 )
@@ -20,17 +22,26 @@
 type entry struct {
 	daemon  *Daemon
 	picker  banyanplank.Picker
+	limiter *limiter.Limiter
+	relay   *suspecter.Relay
 	server  *http.Server
 	running atomic.Int64
 	known   atomic.Bool
 }
 
 func newEntry(d *Daemon, config *tls.Config) *entry {
-	e := &entry{daemon: d, picker: newPicker(d.settings, d.member)}
+	e := &entry{
+		daemon:  d,
+		picker:  newPicker(d.settings, d.member),
+		limiter: limiter.New(d.settings.Name),
+		relay:   suspecter.NewRelay(),
+	}
 	d.dialer = dialer.New(dialer.WithTLS(config), dialer.WithReport(func(report banyanplank.LoadReport) {
 		e.picker.Observe(time.Now(), report)
+		e.relay.Learn(time.Now(), report.Findings)
 	}))
-	handler := receiver.New(d.keeper, newForwarder(d, e.picker), d, identify,
+	forward := limited{Forwarder: newForwarder(d, e.picker, e.relay), limiter: e.limiter}
+	handler := receiver.New(d.keeper, forward, d, identify,
 		receiver.WithBody(d.settings.Limits.Body),
 		receiver.WithTimeout(time.Duration(d.settings.Limits.Timeout)),
 		receiver.WithReady(e.ready),
@@ -65,7 +76,9 @@
 }
 
 func (e *entry) renew(now time.Time, members []banyanplank.Member) {
-	e.picker.Renew(now, members, e.daemon.keeper.View().Configuration)
+	configuration := e.daemon.keeper.View().Configuration
+	e.picker.Renew(now, members, configuration)
+	e.limiter.Renew(configuration, countEntries(members))
 	e.known.Store(true)
 }
 
--- /dev/null
+++ b/finding.go
@@ -0,0 +1,57 @@
+package banyanplank
+
+import "github.com/cespare/xxhash/v2"
+
+// Fingerprint knows a request again when its caller repeats it. The upper half
+// is a hash of the client account, the lower half one of the call.
+type Fingerprint uint64
+
+// Fingerprint returns the request's fingerprint.
+func (r *Request) Fingerprint() Fingerprint {
+	account := xxhash.Sum64String(string(r.Account))
+	var call xxhash.Digest
+	call.Reset()
+	// A digest's writes do not fail.
+	_, _ = call.WriteString(string(r.Service))
+	_, _ = call.WriteString("\x00")
+	_, _ = call.WriteString(r.Path)
+	_, _ = call.WriteString("\x00")
+	_, _ = call.Write(r.Body)
+	return Fingerprint(account<<32 | call.Sum64()>>32)
+}
+
+// Account returns the part that is the same for all requests of an account.
+func (f Fingerprint) Account() uint32 {
+	return uint32(f >> 32)
+}
+
+// DeathID names one death of one endpoint.
+type DeathID uint64
+
+// NewDeathID returns the id of the death that ended a boot of the endpoint
+// beside a daemon.
+func NewDeathID(daemon DaemonID, boot string) DeathID {
+	return DeathID(xxhash.Sum64String(string(daemon) + "\x00" + boot))
+}
+
+// FindingKind tells what a finding reports.
+type FindingKind uint8
+
+// The kinds of findings.
+const (
+	// FindingDeath reports which requests an endpoint ran when it died.
+	FindingDeath FindingKind = iota
+	// FindingWithdrawn reports that the endpoint had not died after all.
+	FindingWithdrawn
+	// FindingCleared reports that suspects ran alone and ended well.
+	FindingCleared
+)
+
+// Finding is what daemons tell each other of crashing requests. It takes about
+// 8 bytes for each request that ran.
+type Finding struct {
+	Kind  FindingKind
+	Death DeathID
+	// Requests lists the requests, the latest started first.
+	Requests []Fingerprint
+}
--- a/picker.go
+++ b/picker.go
@@ -27,6 +27,8 @@
 	// Models and Adapters are what the endpoint has loaded. Empty means any.
 	Models   []string
 	Adapters []string
+	// Findings are the agent's newest of requests that crash endpoints.
+	Findings []Finding
 }
 
 // Query is what a [Picker] is asked.
--- a/request.go
+++ b/request.go
@@ -43,6 +43,8 @@
 	Binding Binding
 	// Join asks only for an attempt that the agent knows, never for a new one.
 	Join bool
+	// Findings tell of deaths of endpoints that ran the same request.
+	Findings []Finding
 }
 
 // Resumable reports whether another endpoint can go on with the answer at an
