Tell a slow reader from a slow endpoint

Cause: the agent stops reading an answer whose reader is slow, and reported progress only after it had passed a part on. Five late parts of one slow reader looked like an endpoint that had turned cold and cut its limit.

Change: the guard counts parts as they come from the endpoint, and an answer whose reader was slow once tells nothing more of the endpoint's pace.

Conclusion: TestSlowReaderIsNoSlowEndpoint fails without the change and passes with it.

--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -220,6 +220,14 @@
 	w.owner.deliver()
 }
 
+// Stall tells that the answer was not read for a while, so that the times
+// between its parts no longer show the endpoint's pace.
+func (w *waiter) Stall() {
+	w.owner.mu.Lock()
+	defer w.owner.mu.Unlock()
+	w.stalled = true
+}
+
 // Release implements [banyanplank.Grant].
 func (w *waiter) Release(healthy bool) {
 	w.owner.mu.Lock()
--- a/coordination/admitter/machine.go
+++ b/coordination/admitter/machine.go
@@ -84,6 +84,8 @@
 	slow int
 	// stream tells that the answer's parts show the endpoint's pace.
 	stream bool
+	// stalled tells that they no longer do.
+	stalled bool
 	// due is when the prompt of a request without a stream counts as read, and
 	// isRead tells that it is.
 	due    time.Time
@@ -299,7 +301,7 @@
 	if t.made == 0 {
 		m.prefilling.end(t)
 	}
-	if t.stream {
+	if t.stream && !t.stalled {
 		m.learn(now, t, tokens)
 	}
 	t.made += tokens
--- a/coordination/suspecter/guard.go
+++ b/coordination/suspecter/guard.go
@@ -153,6 +153,12 @@
 	return r
 }
 
+// staller is a grant that can be told of a slow reader.
+type staller interface {
+	// Stall tells that the answer was not read for a while.
+	Stall()
+}
+
 // guarded is the grant of a request that the guard watches.
 type guarded struct {
 	banyanplank.Grant
@@ -164,9 +170,25 @@
 	released bool
 }
 
-// Progress implements [banyanplank.Grant].
-func (r *guarded) Progress(tokens int) {
-	r.Grant.Progress(tokens)
+// Progress implements [banyanplank.Grant]. It does nothing, because the guard
+// sees the parts as they come from the endpoint.
+func (r *guarded) Progress(int) {}
+
+// received counts a part as it comes from the endpoint.
+func (r *guarded) received() {
+	if r != nil {
+		r.Grant.Progress(1)
+	}
+}
+
+// stall tells the grant of a slow reader.
+func (r *guarded) stall() {
+	if r == nil {
+		return
+	}
+	if s, ok := r.Grant.(staller); ok {
+		s.Stall()
+	}
 }
 
 // Release implements [banyanplank.Grant]. Whether the endpoint survived is
@@ -208,15 +230,18 @@
 	g.share(finding)
 }
 
-// begin marks an attempt as begun at the endpoint.
-func (g *Guard) begin(attempt banyanplank.AttemptID) {
+// begin marks an attempt as begun at the endpoint and returns its grant, or
+// nil when it has none.
+func (g *Guard) begin(attempt banyanplank.AttemptID) *guarded {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, r := range g.running {
 		if r.attempt == attempt {
 			r.began = true
+			return r
 		}
 	}
+	return nil
 }
 
 // fail takes in that the endpoint broke off an attempt. What runs beside it is
@@ -281,13 +306,13 @@
 
 // Run implements [banyanplank.Endpoint].
 func (w *watched) Run(ctx context.Context, request *banyanplank.Request) (answer banyanplank.Answer, err error) {
-	w.guard.begin(request.Attempt)
+	grant := w.guard.begin(request.Attempt)
 	answer, err = w.Endpoint.Run(ctx, request)
 	if err != nil {
 		w.observe(ctx, request.Attempt, err)
 		return nil, err
 	}
-	return &watchedAnswer{Answer: answer, ctx: ctx, watched: w, attempt: request.Attempt}, nil
+	return &watchedAnswer{Answer: answer, ctx: ctx, watched: w, attempt: request.Attempt, grant: grant}, nil
 }
 
 // observe takes in an error of the endpoint, unless it comes from the caller's
@@ -306,18 +331,32 @@
 	}
 }
 
-// watchedAnswer is an answer whose breaking off the guard sees.
+// stallTime is how long the reader of an answer may take with a part before it
+// counts as slow.
+const stallTime = 5 * time.Millisecond
+
+// watchedAnswer is an answer whose pace and breaking off the guard sees.
 type watchedAnswer struct {
 	banyanplank.Answer
 	ctx     context.Context
 	watched *watched
 	attempt banyanplank.AttemptID
+	grant   *guarded
+	// passed is when the latest part was handed on.
+	passed time.Time
 }
 
 // Next implements [banyanplank.Answer].
 func (a *watchedAnswer) Next() (part banyanplank.Part, err error) {
+	if !a.passed.IsZero() && time.Since(a.passed) > stallTime {
+		a.grant.stall()
+	}
 	part, err = a.Answer.Next()
-	if err != nil && !errors.Is(err, io.EOF) {
+	a.passed = time.Now()
+	switch {
+	case err == nil:
+		a.grant.received()
+	case !errors.Is(err, io.EOF):
 		a.watched.observe(a.ctx, a.attempt, err)
 	}
 	return part, err
--- a/coordination/suspecter/guard_test.go
+++ b/coordination/suspecter/guard_test.go
@@ -273,6 +273,64 @@
 	})
 }
 
+// ticker is an answer with a part every 20 ms, buffered like by a connection.
+type ticker struct {
+	fake
+	began time.Time
+	read  int
+}
+
+func (a *ticker) Run(context.Context, *banyanplank.Request) (answer banyanplank.Answer, err error) {
+	a.began, a.read = time.Now(), 0
+	return a, nil
+}
+
+func (a *ticker) Head() (head banyanplank.Head) { return head }
+
+func (a *ticker) Close() error { return nil }
+
+func (a *ticker) Next() (part banyanplank.Part, err error) {
+	a.read++
+	time.Sleep(time.Until(a.began.Add(time.Duration(a.read) * 20 * time.Millisecond)))
+	return part, nil
+}
+
+// TestSlowReaderIsNoSlowEndpoint reads an answer fast, then slowly.
+func TestSlowReaderIsNoSlowEndpoint(t *testing.T) {
+	tests := map[string]struct {
+		pause time.Duration
+		want  time.Duration
+	}{
+		"fast": {0, 20 * time.Millisecond},
+		"slow": {time.Second, 20 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				endpoint := &ticker{}
+				g := suspecter.NewGuard("one", admitter.New("one", 1, admitter.WithColdShare(1)), endpoint)
+				g.Observe(banyanplank.EndpointReport{Boot: "one", Capacity: 16_000})
+				request := &banyanplank.Request{Attempt: "1", Stream: true, Demand: banyanplank.Demand{Prompt: 50, Longest: 500}}
+				grant, err := g.Admit(t.Context(), request)
+				is.NoErr(err)
+				answer, err := g.Endpoint().Run(t.Context(), request)
+				is.NoErr(err)
+				for i := range 200 {
+					_, err := answer.Next()
+					is.NoErr(err)
+					if i > 50 {
+						time.Sleep(test.pause)
+					}
+					grant.Progress(1)
+				}
+				is.Equal(g.Load().Limit, 16_000) // no turn to cold
+				is.Equal(g.Load().Step, test.want)
+			})
+		})
+	}
+}
+
 func TestLostEntryIsNoDeath(t *testing.T) {
 	is := is.New(t)
 	g, _ := newGuard("one", func(banyanplank.Finding) { t.Error("nothing died") })
