Let the test of slow readers see a turn to cold

Cause: with a cold share of one the limit is the same cold and warm, so the check of the limit could not fail.

Change: the test warms the endpoint up first.

--- a/coordination/suspecter/guard_test.go
+++ b/coordination/suspecter/guard_test.go
@@ -295,6 +295,18 @@
 	return part, nil
 }
 
+// warm raises an admitter's limit to 16,000 tokens by finished work.
+func warm(t *testing.T, a *admitter.Admitter) {
+	is := is.New(t)
+	for range 100 {
+		grant, err := a.Admit(t.Context(), &banyanplank.Request{Demand: banyanplank.Demand{Prompt: 500}})
+		is.NoErr(err)
+		grant.Progress(1)
+		grant.Release(true)
+	}
+	is.Equal(a.Load().Limit, 16_000)
+}
+
 // TestSlowReaderIsNoSlowEndpoint reads an answer fast, then slowly.
 func TestSlowReaderIsNoSlowEndpoint(t *testing.T) {
 	tests := map[string]struct {
@@ -309,8 +321,10 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				endpoint := &ticker{}
-				g := suspecter.NewGuard("one", admitter.New("one", 1, admitter.WithColdShare(1)), endpoint)
+				a := admitter.New("one", 1)
+				g := suspecter.NewGuard("one", a, endpoint)
 				g.Observe(banyanplank.EndpointReport{Boot: "one", Capacity: 16_000})
+				warm(t, a)
 				request := &banyanplank.Request{Attempt: "1", Stream: true, Demand: banyanplank.Demand{Prompt: 50, Longest: 500}}
 				grant, err := g.Admit(t.Context(), request)
 				is.NoErr(err)
