Show admission to operators, and stop a crashing request end to end

Cause: operators could not see why an agent refuses, and that findings reach the next agent was tested only part by part.

Change: agents show limit, held, waiting, step and cold as gauges, refusals by reason as counters, and log when the endpoint turns cold or warm.

Figures: TestCrashingRequestIsStopped, five agents behind one entry over loopback: the request takes down two endpoints and is refused from then on.

Conclusion: findings travel with reports and requests.

--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -60,6 +60,7 @@
 // limited is a forwarder that holds accounts within their limits.
 type limited struct {
 	*forwarder.Forwarder
+	daemon  banyanplank.DaemonID
 	limiter *limiter.Limiter
 }
 
@@ -70,6 +71,7 @@
 		return l.Forwarder.Forward(ctx, request, place)
 	}
 	if err := l.limiter.Take(time.Now(), request.Account); err != nil {
+		countRefusal("limit", l.daemon, banyanplank.ReasonLimit)
 		return nil, err
 	}
 	delivery, err = l.Forwarder.Forward(ctx, request, nil)
--- /dev/null
+++ b/daemon/admission_test.go
@@ -0,0 +1,107 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/daemon"
+	"github.com/banyanplank/banyanplank/state/loader"
+)
+
+// brittle is an endpoint that dies of a prompt with the word "crash" in it.
+type brittle struct {
+	boot atomic.Int64
+}
+
+// ServeHTTP implements [http.Handler].
+func (b *brittle) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if strings.HasPrefix(request.URL.Path, "/admin/") {
+		_, _ = fmt.Fprintf(w, `{"boot":"%d","capacity":1048576}`, b.boot.Load())
+		return
+	}
+	body, _ := io.ReadAll(request.Body)
+	if bytes.Contains(body, []byte("crash")) {
+		b.boot.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = io.WriteString(w, "data: {}\n\ndata: [DONE]\n\n")
+}
+
+// TestCrashingRequestIsStopped sends a request that kills its endpoint again
+// and again through an entry before five agents.
+func TestCrashingRequestIsStopped(t *testing.T) {
+	is := is.New(t)
+	p := newPath(t, http.NotFoundHandler())
+	ctx, cancel := context.WithCancel(context.Background())
+	group := pool.New().WithContext(ctx).WithFirstError()
+	run := func(settings loader.Settings) {
+		d, err := daemon.New(settings, daemon.WithStore(p.platform), daemon.WithInstances(p.platform))
+		is.NoErr(err)
+		group.Go(d.Run)
+	}
+	var endpoints []*brittle
+	for i := range 5 {
+		endpoint := &brittle{}
+		endpoints = append(endpoints, endpoint)
+		server := httptest.NewServer(endpoint)
+		t.Cleanup(server.Close)
+		settings := newSettings(t, banyanplank.RoleAgent)
+		settings.Name = banyanplank.DaemonID("agent-" + strconv.Itoa(i))
+		settings.Endpoint = loader.Endpoint{Address: server.URL, Service: "guide", Capacity: 1 << 20}
+		run(settings)
+	}
+	run(p.entry)
+	t.Cleanup(func() {
+		cancel()
+		is.NoErr(group.Wait())
+	})
+	p.await(t)
+	for range 10 {
+		status, text := p.ask(t, "crash")
+		is.True(status != http.StatusOK)
+		if strings.Contains(text, string(banyanplank.ReasonSuspect)) {
+			break
+		}
+	}
+	status, text := p.ask(t, "crash")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(text, string(banyanplank.ReasonSuspect)))
+	crashes := int64(0)
+	for _, endpoint := range endpoints {
+		crashes += endpoint.boot.Load()
+	}
+	is.Equal(crashes, int64(2))
+	status, _ = p.ask(t, "burrows")
+	is.Equal(status, http.StatusOK)
+}
+
+// ask sends one streamed chat call and returns the answer.
+func (p *path) ask(t *testing.T, prompt string) (status int, text string) {
+	t.Helper()
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	body := fmt.Sprintf(`{"model":"guide","stream":true,"max_tokens":4,"messages":%q}`, prompt)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, p.url()+"/v1/chat/completions", strings.NewReader(body))
+	is.NoErr(err)
+	request.Header.Set("Authorization", "Bearer "+secret)
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	defer response.Body.Close()
+	answer, _ := io.ReadAll(response.Body)
+	return response.StatusCode, string(answer)
+}
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -31,7 +31,7 @@
 
 func newAgent(d *Daemon) (a *agent, err error) {
 	guard := newGuard(d.settings, d.member, invoker.New(d.settings.Endpoint.Address))
-	a = &agent{daemon: d, endpoint: guard.Endpoint(), admitter: guard}
+	a = &agent{daemon: d, endpoint: guard.Endpoint(), admitter: newMeasured(guard, d.settings.Name, d.logger)}
 	a.runner = newRunner(d, a.endpoint, a.admitter)
 	return a, d.listener.HandleCalls(a)
 }
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -40,7 +40,7 @@
 		e.picker.Observe(time.Now(), report)
 		e.relay.Learn(time.Now(), report.Findings)
 	}))
-	forward := limited{Forwarder: newForwarder(d, e.picker, e.relay), limiter: e.limiter}
+	forward := limited{Forwarder: newForwarder(d, e.picker, e.relay), daemon: d.settings.Name, limiter: e.limiter}
 	handler := receiver.New(d.keeper, forward, d, identify,
 		receiver.WithBody(d.settings.Limits.Body),
 		receiver.WithTimeout(time.Duration(d.settings.Limits.Timeout)),
