Check placement orders at the agent

Cause: some endpoints ignore fencing numbers, so an order from a lease that has lapsed would take effect there, and loads share a rate-limited weight store.

Change: coordination/fencer stands before the endpoint. It refuses placement orders with an old number and all before one is known, passes one at a time, spaces loads out by 30 s, and sets the admitter cold for each.

Conclusion: the table tests pass. Nothing gives placement orders yet, so nobody tells the fencer a number; until then it refuses them all.

--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -8,6 +8,7 @@
 
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/admitter"
+	"github.com/banyanplank/banyanplank/coordination/fencer"
 	"github.com/banyanplank/banyanplank/coordination/forwarder"
 	"github.com/banyanplank/banyanplank/coordination/limiter"
 	"github.com/banyanplank/banyanplank/coordination/picker"
@@ -33,15 +34,16 @@
 }
 
 // newGuard returns the admitter of an agent behind the guard that watches its
-// endpoint.
-func newGuard(settings loader.Settings, member banyanplank.Member, endpoint banyanplank.Endpoint) *suspecter.Guard {
+// endpoint, and the endpoint behind both the guard and the check of its orders.
+func newGuard(settings loader.Settings, member banyanplank.Member, raw banyanplank.Endpoint) (guard *suspecter.Guard, endpoint *fencer.Fencer) {
 	admits := admitter.New(settings.Name, member.Incarnation,
 		admitter.WithZone(settings.Zone),
 		admitter.WithService(settings.Endpoint.Service),
 		admitter.WithCapacity(settings.Endpoint.Capacity),
 		admitter.WithCeiling(settings.Endpoint.Capacity),
 	)
-	return suspecter.NewGuard(settings.Name, admits, endpoint)
+	guard = suspecter.NewGuard(settings.Name, admits, raw)
+	return guard, fencer.New(guard.Endpoint(), admits)
 }
 
 // relaying is an opener that tells agents what is known of the requests that
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -30,8 +30,8 @@
 }
 
 func newAgent(d *Daemon) (a *agent, err error) {
-	guard := newGuard(d.settings, d.member, invoker.New(d.settings.Endpoint.Address))
-	a = &agent{daemon: d, endpoint: guard.Endpoint(), admitter: newMeasured(guard, d.settings.Name, d.logger)}
+	guard, endpoint := newGuard(d.settings, d.member, invoker.New(d.settings.Endpoint.Address))
+	a = &agent{daemon: d, endpoint: endpoint, admitter: newMeasured(guard, d.settings.Name, d.logger)}
 	a.runner = newRunner(d, a.endpoint, a.admitter)
 	return a, d.listener.HandleCalls(a)
 }
