Measure memory and time of picking, limits and admission

Change: benchmarks of memory for each endpoint and account, of taking in members, and of a refusal through a long queue.

--- a/coordination/admitter/admitter_test.go
+++ b/coordination/admitter/admitter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -247,3 +248,52 @@
 		i++
 	}
 }
+
+// BenchmarkMemory reports the memory for each configured account at an agent.
+func BenchmarkMemory(b *testing.B) {
+	const count = 50_000
+	accounts := make([]banyanplank.AccountSpec, count)
+	for i := range accounts {
+		accounts[i].Name = banyanplank.AccountID(fmt.Sprintf("account-%d", i))
+	}
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		a := reported(1 << 30)
+		a.Renew(&banyanplank.Configuration{Accounts: accounts})
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/count, "B/account")
+		runtime.KeepAlive(a)
+	}
+}
+
+// BenchmarkAdmitQueued admits through a queue of many accounts: each release
+// starts the next request, and each offer predicts its wait.
+func BenchmarkAdmitQueued(b *testing.B) {
+	a := reported(1<<30, admitter.WithQueue(1024, 1<<30))
+	blocker, err := a.Admit(context.Background(), request("blocker", 1<<26))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer blocker.Release(true)
+	var waiting conc.WaitGroup
+	ctx, cancel := context.WithCancel(context.Background())
+	for i := range 500 {
+		waiting.Go(func() { _, _ = a.Admit(ctx, request(fmt.Sprint(i), 1000)) })
+	}
+	for a.Load().Waiting < 500 {
+		runtime.Gosched()
+	}
+	late := request("late", 1000)
+	late.Deadline = time.Now()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := a.Admit(context.Background(), late); err == nil {
+			b.Fatal("admitted")
+		}
+	}
+	cancel()
+	waiting.Wait()
+}
--- a/coordination/limiter/limiter_test.go
+++ b/coordination/limiter/limiter_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -191,6 +192,30 @@
 	}
 }
 
+// BenchmarkMemory reports the memory for each account that has limits and is
+// active.
+func BenchmarkMemory(b *testing.B) {
+	const count = 50_000
+	accounts := make([]banyanplank.AccountSpec, count)
+	for i := range accounts {
+		accounts[i] = banyanplank.AccountSpec{Name: banyanplank.AccountID(fmt.Sprintf("account-%d", i)), Rate: 1}
+	}
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		l := New("one")
+		l.Renew(&banyanplank.Configuration{Accounts: accounts}, 1)
+		for i := range accounts {
+			_ = l.Take(epoch, accounts[i].Name)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/count, "B/account")
+		runtime.KeepAlive(l)
+	}
+}
+
 func BenchmarkReport(b *testing.B) {
 	l := New("one")
 	accounts := make([]banyanplank.AccountSpec, 50_000)
--- a/coordination/picker/picker_test.go
+++ b/coordination/picker/picker_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/state/indexer"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -399,3 +401,34 @@
 		})
 	}
 }
+
+// BenchmarkMemory reports the memory that a picker takes for each endpoint,
+// without the prefix index.
+func BenchmarkMemory(b *testing.B) {
+	const count = 6000
+	members := agents(count)
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		p := New("entry", rand.New(rand.NewPCG(1, 2)), WithIndex(indexer.New(indexer.WithBlocks(64))))
+		p.Renew(epoch, members, &banyanplank.Configuration{Zones: zones})
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/count, "B/endpoint")
+		runtime.KeepAlive(p)
+	}
+}
+
+// BenchmarkRenew takes in 600 agents and 420 entries anew.
+func BenchmarkRenew(b *testing.B) {
+	members := agents(600)
+	for i := range 420 {
+		members = append(members, banyanplank.Member{ID: banyanplank.DaemonID(fmt.Sprintf("entry-%d", i)), Role: banyanplank.RoleEntry})
+	}
+	p := newPicker(members...)
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Renew(epoch, members, &banyanplank.Configuration{Zones: zones})
+	}
+}
