Exchange demand and findings between entries

Cause: entries did not tell each other what accounts want, so each limit was split evenly, and an entry heard of a crashing request only from the agent.

Change: each account is counted by two entries that a hash over the live ones names, asked once a second over protocol/exchanger. Telling every entry was dropped, because messages grow with the square of the entries. An entry that learns a finding from an agent tells all others.

Conclusion: TestCrashingRequestIsStopped sends the request through a second entry after two deaths and is refused there without a third.

--- a/coordination/limiter/limiter.go
+++ b/coordination/limiter/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,8 +46,10 @@
 	// demand is the average of the requests a second, worked out at counted.
 	demand  float64
 	counted time.Time
-	// told is what the peers know.
-	told wanted
+	// told is what the counting entry knows, others what it answered at heard.
+	told   wanted
+	others wanted
+	heard  time.Time
 }
 
 // Limiter enforces the limits of all accounts at one entry. Create it with
@@ -55,14 +58,11 @@
 	entry banyanplank.DaemonID
 
 	mu       sync.Mutex
-	entries  int
+	entries  []banyanplank.DaemonID
 	limits   map[banyanplank.AccountID]limits
 	accounts map[banyanplank.AccountID]*account
-	peers    map[banyanplank.DaemonID]*peer
-	// others is what the peers want in all.
-	others  map[banyanplank.AccountID]wanted
-	heard   int
-	expired time.Time
+	// counts holds what the entries say of the accounts counted here.
+	counts  map[banyanplank.AccountID]map[banyanplank.DaemonID]told
 	sweepAt int
 	// scratch is reused by each report.
 	scratch []Usage
@@ -72,20 +72,21 @@
 func New(entry banyanplank.DaemonID) *Limiter {
 	return &Limiter{
 		entry:    entry,
-		entries:  1,
+		entries:  []banyanplank.DaemonID{entry},
 		accounts: map[banyanplank.AccountID]*account{},
-		peers:    map[banyanplank.DaemonID]*peer{},
-		others:   map[banyanplank.AccountID]wanted{},
+		counts:   map[banyanplank.AccountID]map[banyanplank.DaemonID]told{},
 		sweepAt:  leastSweep,
 	}
 }
 
-// Renew takes in the accounts' limits and the number of entries that share
-// them, this one included.
-func (l *Limiter) Renew(configuration *banyanplank.Configuration, entries int) {
+// Renew takes in the accounts' limits and the live entries that share them.
+func (l *Limiter) Renew(configuration *banyanplank.Configuration, entries []banyanplank.DaemonID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entries = max(1, entries)
+	l.entries = slices.Clone(entries)
+	if !slices.Contains(l.entries, l.entry) {
+		l.entries = append(l.entries, l.entry)
+	}
 	l.limits = map[banyanplank.AccountID]limits{}
 	for _, spec := range configuration.Accounts {
 		if spec.Rate > 0 || spec.Concurrent > 0 {
@@ -107,9 +108,8 @@
 	if a == nil {
 		return nil
 	}
-	l.expire(now)
 	a.count(now)
-	even, rate, running := l.share(id, a)
+	even, rate, running := l.share(now, a)
 	a.fill(now, rate, even)
 	switch {
 	case a.limits.concurrent > 0 && float64(a.running) >= running:
@@ -146,7 +146,7 @@
 		l.sweep(now)
 	}
 	a := &account{limits: bounds, filled: now, counted: now}
-	a.saved = burst(bounds.rate / float64(l.entries))
+	a.saved = burst(bounds.rate / float64(len(l.entries)))
 	l.accounts[id] = a
 	return a
 }
@@ -172,7 +172,7 @@
 // wanted returns what the account wants above its even share here.
 func (l *Limiter) wanted(now time.Time, a *account) (w wanted) {
 	fade := math.Exp(-float64(now.Sub(a.counted)) / float64(demandTime))
-	even := evenShare / float64(l.entries)
+	even := evenShare / float64(len(l.entries))
 	if bound := a.limits.rate; bound > 0 {
 		w.rate = max(0, min(bound, a.demand*fade)-bound*even)
 	}
@@ -184,15 +184,14 @@
 
 // share returns the even rate, and the rate and the concurrency that this
 // entry may use.
-func (l *Limiter) share(id banyanplank.AccountID, a *account) (even, rate, running float64) {
-	n := float64(l.entries)
+func (l *Limiter) share(now time.Time, a *account) (even, rate, running float64) {
+	n := float64(len(l.entries))
 	even = a.limits.rate / n
-	if l.entries > 1 && 2*l.heard < l.entries-1 {
+	if n > 1 && now.Sub(a.heard) > freshTime {
 		return even, even, max(1, math.Floor(a.limits.concurrent/n))
 	}
-	others := l.others[id]
-	rate = part(a.limits.rate, n, a.told.rate, others.rate)
-	running = part(a.limits.concurrent, n, a.told.running, others.running)
+	rate = part(a.limits.rate, n, a.told.rate, a.others.rate)
+	running = part(a.limits.concurrent, n, a.told.running, a.others.running)
 	return even, rate, max(1, math.Floor(running))
 }
 
--- a/coordination/suspecter/relay.go
+++ b/coordination/suspecter/relay.go
@@ -20,16 +20,19 @@
 	return &Relay{suspects: NewSuspects()}
 }
 
-// Learn takes in findings.
-func (r *Relay) Learn(now time.Time, findings []banyanplank.Finding) {
+// Learn takes in findings and returns those that were news.
+func (r *Relay) Learn(now time.Time, findings []banyanplank.Finding) (news []banyanplank.Finding) {
 	if len(findings) == 0 {
-		return
+		return nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, finding := range findings {
-		r.suspects.Observe(now, finding)
+		if r.suspects.Observe(now, finding) {
+			news = append(news, finding)
+		}
 	}
+	return news
 }
 
 // About returns the findings that name a request.
--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -99,12 +99,16 @@
 	return d.Delivery.Close()
 }
 
-// countEntries returns how many entries serve, at least one.
-func countEntries(members []banyanplank.Member) (entries int) {
+// liveEntries returns the entries that serve.
+func liveEntries(members []banyanplank.Member) (entries []banyanplank.DaemonID) {
 	for _, m := range members {
-		if m.Role == banyanplank.RoleEntry && m.State == banyanplank.MemberLive {
-			entries++
+		if isLiveEntry(m) {
+			entries = append(entries, m.ID)
 		}
 	}
-	return max(1, entries)
+	return entries
+}
+
+func isLiveEntry(m banyanplank.Member) bool {
+	return m.Role == banyanplank.RoleEntry && m.State == banyanplank.MemberLive
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -117,8 +117,8 @@
 func (d *Daemon) assemble(config *tls.Config) (err error) {
 	d.listener = listener.New(listener.WithTLS(config), listener.WithFailed(d.logPeer))
 	if d.settings.Role == banyanplank.RoleEntry {
-		d.role = newEntry(d, config)
-		return nil
+		d.role, err = newEntry(d, config)
+		return err
 	}
 	d.dialer = dialer.New(dialer.WithTLS(config))
 	d.role, err = newAgent(d)
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -14,6 +14,7 @@
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/limiter"
 	"github.com/banyanplank/banyanplank/coordination/suspecter"
+	"github.com/banyanplank/banyanplank/protocol/exchanger"
 	"github.com/banyanplank/banyanplank/transport/dialer"
 	"github.com/banyanplank/banyanplank/transport/receiver"
 )
@@ -24,21 +25,24 @@
 	picker  banyanplank.Picker
 	limiter *limiter.Limiter
 	relay   *suspecter.Relay
+	// news holds the findings that other entries must be told of.
+	news    chan banyanplank.Finding
 	server  *http.Server
 	running atomic.Int64
 	known   atomic.Bool
 }
 
-func newEntry(d *Daemon, config *tls.Config) *entry {
-	e := &entry{
+func newEntry(d *Daemon, config *tls.Config) (e *entry, err error) {
+	e = &entry{
 		daemon:  d,
 		picker:  newPicker(d.settings, d.member),
 		limiter: limiter.New(d.settings.Name),
 		relay:   suspecter.NewRelay(),
+		news:    make(chan banyanplank.Finding, newsLimit),
 	}
 	d.dialer = dialer.New(dialer.WithTLS(config), dialer.WithReport(func(report banyanplank.LoadReport) {
 		e.picker.Observe(time.Now(), report)
-		e.relay.Learn(time.Now(), report.Findings)
+		e.learn(report.Findings)
 	}))
 	forward := limited{Forwarder: newForwarder(d, e.picker, e.relay), daemon: d.settings.Name, limiter: e.limiter}
 	handler := receiver.New(d.keeper, forward, d, identify,
@@ -46,8 +50,8 @@
 		receiver.WithTimeout(time.Duration(d.settings.Limits.Timeout)),
 		receiver.WithReady(e.ready),
 	)
-	e.server = receiver.NewServer(e.count(handler))
-	return e
+	e.server = receiver.NewServer(e.counted(handler))
+	return e, exchanger.DRPCRegisterExchanger(d.listener.Mux(), exchange{entry: e})
 }
 
 // identify returns a request id of 128 random bits.
@@ -57,8 +61,8 @@
 	return banyanplank.RequestID(hex.EncodeToString(bits[:]))
 }
 
-// count counts the calls that run.
-func (e *entry) count(handler http.Handler) http.Handler {
+// counted counts the calls that run.
+func (e *entry) counted(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		e.running.Add(1)
 		defer e.running.Add(-1)
@@ -69,6 +73,7 @@
 func (e *entry) serve(ctx context.Context) (err error) {
 	group := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
 	group.Go(e.daemon.sweep)
+	group.Go(e.exchange)
 	group.Go(func(ctx context.Context) error {
 		return serveHTTP(ctx, e.server, e.daemon.settings.Listen.Caller)
 	})
@@ -78,7 +83,7 @@
 func (e *entry) renew(now time.Time, members []banyanplank.Member) {
 	configuration := e.daemon.keeper.View().Configuration
 	e.picker.Renew(now, members, configuration)
-	e.limiter.Renew(configuration, countEntries(members))
+	e.limiter.Renew(configuration, liveEntries(members))
 	e.known.Store(true)
 }
 
