Tell the demand of at most 16 accounts a round

Cause: at 32 the demand alone could take 3.6 KB a second, more than the 3 KB for all control.

Change: the bound is 16.

Figures: 28 B an account, to two entries and back: 1.8 KB a second at most.

Conclusion: within the budget.

--- a/coordination/limiter/usage.go
+++ b/coordination/limiter/usage.go
@@ -23,7 +23,7 @@
 // The bounds of what entries tell each other.
 const (
 	// mostUsages bounds the accounts that one entry tells of in a round.
-	mostUsages = 32
+	mostUsages = 16
 	// mostCounted bounds the accounts that one entry counts.
 	mostCounted = 4096
 	// freshTime is how long what another entry said counts.
