--- a/coordination/admitter/machine.go
+++ b/coordination/admitter/machine.go
@@ -30,80 +30,32 @@
 	// prefilling is the prompt tokens that the endpoint has still to work off.
 	prefilling prefilling
 	closed     banyanplank.Reason
+	// turn counts how often the endpoint turned cold.
+	turn int
 	// decided lists what the latest call decided.
 	decided []decision
 }
 
+// creditShare is the part of the limit that an account may go ahead with after
+// it has used little.
+const creditShare = 4
+
+// startShare is the part of the objective for the first token, in tenths, in
+// which a request must be predicted to start. The rest covers the way to the
+// caller, other attempts and wrong predictions.
+const startShare = 6
+
+// longShare is the part in which a request with a long prompt may wait, in
+// tenths, however long its own prefill takes. Without it such a request would
+// start only at an idle endpoint.
+const longShare = 3
+
 // decision is the fate of a request that waited: a nil refusal lets it run.
 type decision struct {
 	ticket  *ticket
 	refusal *banyanplank.Refusal
 }
 
-// phase tells how far a request has come.
-type phase uint8
-
-const (
-	phaseWaiting phase = iota
-	phaseRunning
-	phaseDone
-)
-
-// ticket is one request as the machine knows it.
-type ticket struct {
-	attempt  banyanplank.AttemptID
-	account  *account
-	tokens   int
-	prompt   int
-	bytes    int
-	priority int
-	phase    phase
-	// latest is when the request must have started. Zero means any time.
-	latest   time.Time
-	previous *ticket
-	next     *ticket
-
-	started time.Time
-	// ahead is the prefill work at the start, this request's included.
-	ahead   int
-	tokened time.Time
-	made    int
-	slow    int
-	// stream tells that the answer's parts show the endpoint's pace.
-	stream bool
-	// due is when the prompt of a request without a stream counts as read, and
-	// isRead tells that it is.
-	due    time.Time
-	isRead bool
-	// alone tells that nothing else may run beside the request.
-	alone bool
-	// wake is whom to tell of the decision.
-	wake *waiter
-}
-
-// isPlain reports whether the request goes to a plain service.
-func isPlain(demand banyanplank.Demand) bool {
-	return demand.Tokens() == 0
-}
-
-// fill sets t up for a request offered at now.
-func (m *machine) fill(t *ticket, now time.Time, request *banyanplank.Request) {
-	t.attempt = request.Attempt
-	t.account = m.queue.account(request.Account)
-	t.tokens = max(1, request.Demand.Tokens())
-	t.prompt = request.Demand.Prompt
-	t.bytes = len(request.Body)
-	t.priority = request.Priority
-	t.latest = request.Deadline
-	t.stream = request.Stream
-	if m.first > 0 && t.stream && !isPlain(request.Demand) {
-		start := now.Add(max(0, m.first-m.pace.prefillTime(t.prompt)))
-		if t.latest.IsZero() || start.Before(t.latest) {
-			t.latest = start
-		}
-	}
-}
-
 // offer takes in a request. It starts, waits, or gets a refusal at once.
 func (m *machine) offer(now time.Time, t *ticket) (refusal *banyanplank.Refusal) {
 	m.drain(now)
@@ -135,13 +87,14 @@
 		return nil
 	}
 	if late := now.Add(m.wait(t)).Sub(t.latest); late > 0 {
-		return lateRefusal(late)
+		return lateRefusal(late, "the endpoint cannot start the request in time")
 	}
 	return nil
 }
 
 // tick takes in that time has passed.
 func (m *machine) tick(now time.Time) {
+	m.queue.credit = float64(m.limit.current) / creditShare
 	// An endpoint that never reports is taken as idle in the end.
 	m.known = m.known || m.residue.isSettled(now)
 	m.prefilling.expire(now)
@@ -166,7 +119,11 @@
 
 // free returns the tokens that the limit still allows.
 func (m *machine) free() (tokens int) {
-	return m.limit.current - m.held - m.residue.tokens - m.excess.tokens
+	used := m.held + m.residue.tokens + m.excess.tokens
+	if m.limit.capacity == 0 {
+		return m.limit.current - used
+	}
+	return min(m.limit.current-used, m.limit.capacity-used-m.residue.growth)
 }
 
 // isIdle reports whether the endpoint runs nothing.
@@ -196,6 +153,7 @@
 	m.exclusive = t.alone
 	t.phase = phaseRunning
 	t.started = now
+	t.turn = m.turn
 	t.ahead = m.prefilling.start(now, t, &m.pace)
 }
 
@@ -256,7 +214,7 @@
 	if t.phase != phaseWaiting {
 		return
 	}
-	m.refuseWaiting(t, lateRefusal(now.Sub(t.latest)+m.wait(t)))
+	m.refuseWaiting(t, lateRefusal(now.Sub(t.latest)+m.wait(t), "the request waited in vain"))
 	m.drain(now)
 }
 
@@ -280,7 +238,7 @@
 	if t.made == 0 {
 		m.prefilling.end(t)
 	}
-	if t.stream {
+	if t.stream && !t.stalled {
 		m.learn(now, t, tokens)
 	}
 	t.made += tokens
@@ -307,7 +265,7 @@
 		m.turnCold()
 		return
 	}
-	m.limit.cut(now, m.held, m.pace.recent)
+	m.limit.cut(now, m.held, m.pace.tail)
 }
 
 // withdraw takes back the start of t, which its caller never used.
@@ -340,16 +298,27 @@
 	case !healthy:
 		m.turnCold()
 	case t.made > 0:
-		m.pace.finish(now.Sub(t.started))
-		m.limit.grow(now, t.tokens, m.pace.recent)
+		m.finishWell(now, t)
 	}
 	m.drain(now)
 }
 
+// finishWell learns from a request that ended well. Work from before the
+// endpoint turned cold tells nothing of what it carries now.
+func (m *machine) finishWell(now time.Time, t *ticket) {
+	m.pace.finish(now.Sub(t.started))
+	if t.turn == m.turn {
+		m.limit.grow(now, t.tokens, m.pace.tail)
+	}
+}
+
 // observe takes in a report of the endpoint.
 func (m *machine) observe(now time.Time, report banyanplank.EndpointReport) {
-	m.known = true
 	m.limit.observe(now, report)
+	if m.boot == "" {
+		m.limit.adopt(report)
+	}
+	m.known = true
 	restarted := m.boot != "" && report.Boot != m.boot
 	m.boot = report.Boot
 	if restarted {
@@ -366,6 +335,7 @@
 
 // turnCold lowers the limit to that of a cold endpoint.
 func (m *machine) turnCold() {
+	m.turn++
 	m.limit.reset()
 	m.pace.forget()
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -122,7 +122,9 @@
 func (d *Daemon) assemble(config *tls.Config) (err error) {
 	d.listener = listener.New(listener.WithTLS(config), listener.WithFailed(d.logPeer))
 	if d.settings.Role == banyanplank.RoleEntry {
-		d.role = newEntry(d, config)
+		if d.role, err = newEntry(d, config); err != nil {
+			return err
+		}
 		return d.assembleSpreader()
 	}
 	d.dialer = dialer.New(dialer.WithTLS(config))
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -12,6 +12,9 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/limiter"
+	"github.com/banyanplank/banyanplank/coordination/suspecter"
+	"github.com/banyanplank/banyanplank/protocol/exchanger"
 	"github.com/banyanplank/banyanplank/transport/dialer"
 	"github.com/banyanplank/banyanplank/transport/receiver"
 )
@@ -20,25 +23,37 @@
 type entry struct {
 	daemon  *Daemon
 	picker  banyanplank.Picker
+	limiter *limiter.Limiter
+	relay   *suspecter.Relay
+	// news holds the findings that other entries must be told of.
+	news    chan banyanplank.Finding
 	server  *http.Server
 	running atomic.Int64
 	known   atomic.Bool
 }
 
-func newEntry(d *Daemon, config *tls.Config) *entry {
-	e := &entry{daemon: d, picker: newPicker(d.settings, d.member)}
+func newEntry(d *Daemon, config *tls.Config) (e *entry, err error) {
+	e = &entry{
+		daemon:  d,
+		picker:  newPicker(d.settings, d.member),
+		limiter: limiter.New(d.settings.Name),
+		relay:   suspecter.NewRelay(),
+		news:    make(chan banyanplank.Finding, newsLimit),
+	}
 	d.dialer = dialer.New(dialer.WithTLS(config), dialer.WithReport(func(report banyanplank.LoadReport) {
 		e.picker.Observe(time.Now(), report)
+		e.learn(report.Findings)
 	}))
-	handler := receiver.New(d.keeper, newForwarder(d, e.picker), d, identify,
+	forward := limited{Forwarder: newForwarder(d, e.picker, e.relay), daemon: d.settings.Name, limiter: e.limiter}
+	handler := receiver.New(d.keeper, forward, d, identify,
 		receiver.WithBody(d.settings.Limits.Body),
 		receiver.WithTimeout(time.Duration(d.settings.Limits.Timeout)),
 		receiver.WithReady(e.ready),
 		receiver.WithBodies(newHolder(d)),
 		receiver.WithOutcomes(d.tallier),
 	)
-	e.server = receiver.NewServer(e.count(handler))
-	return e
+	e.server = receiver.NewServer(e.counted(handler))
+	return e, exchanger.DRPCRegisterExchanger(d.listener.Mux(), exchange{entry: e})
 }
 
 // identify returns a request id of 128 random bits.
@@ -48,8 +63,8 @@
 	return banyanplank.RequestID(hex.EncodeToString(bits[:]))
 }
 
-// count counts the calls that run.
-func (e *entry) count(handler http.Handler) http.Handler {
+// counted counts the calls that run.
+func (e *entry) counted(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		e.running.Add(1)
 		defer e.running.Add(-1)
@@ -60,6 +75,7 @@
 func (e *entry) serve(ctx context.Context) (err error) {
 	group := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
 	group.Go(e.daemon.sweep)
+	group.Go(e.exchange)
 	group.Go(func(ctx context.Context) error {
 		return serveHTTP(ctx, e.server, e.daemon.settings.Listen.Caller)
 	})
@@ -70,6 +86,7 @@
 	configuration := e.daemon.keeper.View().Configuration
 	e.picker.Renew(now, members, configuration)
 	e.daemon.tallier.Renew(configuration)
+	e.limiter.Renew(configuration, liveEntries(members))
 	e.known.Store(true)
 }
 
