Script an engine that falls over in mid-answer

Cause: the first script ran into the retry budget, which begins with one retry for each client account, and read as a fault of resuming. Ruled out: the stand-in engine's resume and the arbiter, whose verdict was to go elsewhere.

Change: the script breaks the engine that runs the request, sees the answer continue at the other one, and then sees a cut once the budget is used up. The reason that the entry gave is shown when a check fails.

--- a/cmd/banyanplankd/script_test.go
+++ b/cmd/banyanplankd/script_test.go
@@ -45,7 +45,8 @@
 //	request NAME METHOD PATH [KEY] make a plain call; prints status and body
 //	runs NAME KEY COUNT            check how often a server ran a key
 //	store down|up                  break or mend the platform
-//	fault ENGINE crash|freeze|thaw make an engine fall over, stall or go on
+//	fault ENGINE crash|freeze|thaw make an engine fall over, stall or go on;
+//	                               "busy" is one that runs a request
 //	stream ID ENTRY TOKENS [FROM]  start a streamed call and wait for its first
 //	                               token; FROM is a stream to resume
 //	streamed ID RESULT             wait for its end: "whole N" or "cut"
--- a/cmd/banyanplankd/traffic_test.go
+++ b/cmd/banyanplankd/traffic_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/sourcegraph/conc/pool"
+
+	"github.com/banyanplank/banyanplank/standin/engine"
 )
 
 // streamed is one streamed call in the background.
@@ -23,6 +25,8 @@
 	first chan struct{}
 	ended chan struct{}
 	whole bool
+	// failure is what the entry said of a cut answer.
+	failure string
 }
 
 // openStream sends a streamed model call.
@@ -78,6 +82,8 @@
 		case line == "data: [DONE]":
 			s.whole = true
 		case strings.HasPrefix(line, "event: error"):
+			lines.Scan()
+			s.failure = lines.Text()
 			return
 		case strings.HasPrefix(line, "data: "):
 			if s.tokens.Add(1) == 1 {
@@ -95,7 +101,7 @@
 		got = "whole " + strconv.FormatInt(s.tokens.Load(), 10)
 	}
 	if want := strings.Join(args[1:], " "); got != want {
-		ts.Fatalf("stream %s: %s after %d tokens, want %s", args[0], got, s.tokens.Load(), want)
+		ts.Fatalf("stream %s: %s after %d tokens, want %s: %s", args[0], got, s.tokens.Load(), want, s.failure)
 	}
 }
 
@@ -110,7 +116,11 @@
 }
 
 func breakEngine(ts *testscript.TestScript, _ bool, args []string) {
-	e := worldOf(ts).engines[args[0]]
+	w := worldOf(ts)
+	e := w.engines[args[0]]
+	if args[0] == "busy" {
+		e = w.busy(ts)
+	}
 	switch args[1] {
 	case "crash":
 		e.Crash()
@@ -121,6 +131,17 @@
 	}
 }
 
+// busy returns an engine that runs a request.
+func (w *world) busy(ts *testscript.TestScript) (e *engine.Engine) {
+	for _, e := range w.engines {
+		if e.Running() > 0 {
+			return e
+		}
+	}
+	ts.Fatalf("no engine runs a request")
+	return nil
+}
+
 // load is a group of callers that call all the time.
 type load struct {
 	stop  context.CancelFunc
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -145,6 +145,13 @@
 	return e.runs[attempt]
 }
 
+// Running counts the requests in the batch.
+func (e *Engine) Running() (running int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return len(e.running)
+}
+
 // Orders returns the orders that took effect.
 func (e *Engine) Orders() (orders []banyanplank.Order) {
 	e.mutex.Lock()
