Give each daemon of a test its own loopback address

Change: standin/loopback hands out another address of 127.0.0.0/8 at each call, which outgoing connections do not use. It replaces four copies of the search.

Conclusion: the collision cannot come from outgoing connections any more.

--- a/cmd/banyanplank/entry_test.go
+++ b/cmd/banyanplank/entry_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -14,6 +13,7 @@
 
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/daemon"
+	"github.com/banyanplank/banyanplank/standin/loopback"
 	"github.com/banyanplank/banyanplank/standin/platform"
 	"github.com/banyanplank/banyanplank/state/loader"
 )
@@ -80,10 +80,9 @@
 
 // freeAddress returns a loopback address that nothing listens on.
 func freeAddress(ts *testscript.TestScript) (address netip.AddrPort) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Address()
 	ts.Check(err)
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
+	return address
 }
 
 // awaitReady polls an entry until it is ready.
--- a/cmd/banyanplankd/script_test.go
+++ b/cmd/banyanplankd/script_test.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -25,6 +24,7 @@
 	"github.com/banyanplank/banyanplank/coordination/accepter"
 	"github.com/banyanplank/banyanplank/daemon"
 	"github.com/banyanplank/banyanplank/standin/engine"
+	"github.com/banyanplank/banyanplank/standin/loopback"
 	"github.com/banyanplank/banyanplank/standin/platform"
 )
 
@@ -186,10 +186,9 @@
 }
 
 func freePort(ts *testscript.TestScript) (address string) {
-	open, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := loopback.Address()
 	ts.Check(err)
-	defer open.Close()
-	return open.Addr().String()
+	return free.String()
 }
 
 func writeSettings(ts *testscript.TestScript, _ bool, args []string) {
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -19,6 +18,7 @@
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/accepter"
 	"github.com/banyanplank/banyanplank/daemon"
+	"github.com/banyanplank/banyanplank/standin/loopback"
 	"github.com/banyanplank/banyanplank/standin/platform"
 	"github.com/banyanplank/banyanplank/state/loader"
 )
@@ -74,10 +74,9 @@
 
 func freeAddress(t testing.TB) (address netip.AddrPort) {
 	t.Helper()
-	open, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Address()
 	is.New(t).NoErr(err)
-	defer open.Close()
-	return netip.MustParseAddrPort(open.Addr().String())
+	return address
 }
 
 // start runs both daemons until the test ends and waits until the entry knows
--- a/examples/local/fleet.go
+++ b/examples/local/fleet.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/banyanplank/banyanplank/coordination/accepter"
 	"github.com/banyanplank/banyanplank/daemon"
 	"github.com/banyanplank/banyanplank/standin/engine"
+	"github.com/banyanplank/banyanplank/standin/loopback"
 	"github.com/banyanplank/banyanplank/standin/platform"
 	"github.com/banyanplank/banyanplank/state/loader"
 )
@@ -95,7 +95,7 @@
 			return err
 		}
 	}
-	caller, err := freeAddress()
+	caller, err := loopback.Address()
 	if err != nil {
 		return err
 	}
@@ -116,7 +116,7 @@
 		e.Run(ctx)
 		return nil
 	})
-	address, err := freeAddress()
+	address, err := loopback.Address()
 	if err != nil {
 		return err
 	}
@@ -150,7 +150,7 @@
 		Held:    1 << 20,
 	}
 	for _, address := range []*netip.AddrPort{&settings.Listen.Peer, &settings.Listen.Admin} {
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = loopback.Address(); err != nil {
 			return err
 		}
 	}
@@ -171,13 +171,3 @@
 	_ = f.engineGroup.Wait()
 	return err
 }
-
-// freeAddress returns a loopback address that nothing uses now.
-func freeAddress() (address netip.AddrPort, err error) {
-	open, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return address, err
-	}
-	defer open.Close()
-	return netip.ParseAddrPort(open.Addr().String())
-}
