Send the suspects of one death to few agents

Cause: when an endpoint dies, all that ran there become suspects and are tried again at once. Each runs alone, so each agent that gets one lets everything else end first; spread over the service they would stop it.

Change: entries send the suspects of a death to an eighth of the service's agents, chosen by a hash of the death that all entries share. A suspect waits up to its deadline, not only within the objective for the first token.

--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -123,7 +123,8 @@
 }
 
 // AdmitAlone is [Admitter.Admit] for a request beside which nothing else may
-// run. It waits until the endpoint runs nothing, and holds it whole.
+// run. It waits until the endpoint runs nothing, and holds it whole. Only its
+// deadline bounds the wait.
 func (a *Admitter) AdmitAlone(ctx context.Context, request *banyanplank.Request) (grant banyanplank.Grant, err error) {
 	return a.admit(ctx, request, true)
 }
--- a/coordination/admitter/ticket.go
+++ b/coordination/admitter/ticket.go
@@ -66,7 +66,7 @@
 	t.priority = request.Priority
 	t.latest = request.Deadline
 	t.stream = request.Stream
-	if m.first > 0 && t.stream && !isPlain(request.Demand) {
+	if m.first > 0 && t.stream && !t.alone && !isPlain(request.Demand) {
 		start := now.Add(max(m.first*longShare/10, m.first*startShare/10-m.pace.prefillTime(t.prompt)))
 		if t.latest.IsZero() || start.Before(t.latest) {
 			t.latest = start
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -33,11 +33,12 @@
 }
 
 func newEntry(d *Daemon, config *tls.Config) (e *entry, err error) {
+	relay := suspecter.NewRelay()
 	e = &entry{
 		daemon:  d,
-		picker:  newPicker(d.settings, d.member),
+		picker:  suspecter.NewPicker(newPicker(d.settings, d.member), relay),
 		limiter: limiter.New(d.settings.Name),
-		relay:   suspecter.NewRelay(),
+		relay:   relay,
 		news:    make(chan banyanplank.Finding, newsLimit),
 	}
 	d.dialer = dialer.New(dialer.WithTLS(config), dialer.WithReport(func(report banyanplank.LoadReport) {
--- a/picker.go
+++ b/picker.go
@@ -38,6 +38,8 @@
 	// Zone is where the asking entry is.
 	Zone   Zone
 	Demand Demand
+	// Fingerprint knows the request again. Zero means none.
+	Fingerprint Fingerprint
 	// Avoid lists daemons that this request has already tried.
 	Avoid []DaemonID
 }
