Let reported load fade as requests end, and measure a crash

Cause: reports come back on answers only. An endpoint that was crowded at its last report got nothing for seconds, ran empty, and nobody knew. A list of what each engine ran showed some at none and others at 32.

Change: what an endpoint held at its report fades with the time for which requests hold their tokens. A script plays a crash of the busiest engine with callers that send again.

--- a/coordination/picker/baseline_test.go
+++ b/coordination/picker/baseline_test.go
@@ -95,6 +95,8 @@
 
 func (c *counting) Observe(banyanplank.EndpointReport) {}
 
+func (c *counting) Renew(*banyanplank.Configuration) {}
+
 func (c *counting) Load() (report banyanplank.LoadReport) { return report }
 
 type counted struct {
--- a/coordination/picker/endpoint.go
+++ b/coordination/picker/endpoint.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"math"
 	"time"
 
 	"github.com/banyanplank/banyanplank"
@@ -98,6 +99,15 @@
 	return true
 }
 
+// heldShare returns how much of what the endpoint held at its report it still
+// holds, between 0 and 1, when a request holds its tokens for the given time.
+func (e *endpoint) heldShare(now time.Time, hold time.Duration) (share float64) {
+	if e.freshness(now) == 0 || hold <= 0 {
+		return 0
+	}
+	return math.Exp(-float64(now.Sub(e.reported)) / float64(hold))
+}
+
 // queueShare returns how much of the reported queue counts, between 0 and 1.
 func (e *endpoint) queueShare(now time.Time) (share float64) {
 	if e.reported.IsZero() {
--- a/coordination/picker/fake_test.go
+++ b/coordination/picker/fake_test.go
@@ -32,7 +32,9 @@
 	demand  banyanplank.Demand
 	answer  int
 	grant   banyanplank.Grant
-	done    chan error
+	// parts gets a value for each token when the answer is read part by part.
+	parts chan struct{}
+	done  chan error
 
 	unread  int
 	made    int
@@ -65,10 +67,12 @@
 	// mute and lie are faults of its reports.
 	mute bool
 	lie  bool
+	// started holds the sequences that are read part by part.
+	started map[banyanplank.AttemptID]*sequence
 }
 
 func newFake() (f *fake) {
-	f = &fake{wake: make(chan struct{}, 1), cache: map[uint64]*list.Element{}}
+	f = &fake{wake: make(chan struct{}, 1), cache: map[uint64]*list.Element{}, started: map[banyanplank.AttemptID]*sequence{}}
 	f.measure()
 	return f
 }
@@ -161,7 +165,11 @@
 	}
 	s.last = now
 	s.made++
-	s.grant.Progress(1)
+	if s.parts == nil {
+		s.grant.Progress(1)
+		return
+	}
+	s.parts <- struct{}{}
 }
 
 // fall cuts all sequences and boots again, cold.
@@ -176,6 +184,13 @@
 	f.recent.Init()
 }
 
+// crash makes the engine fall over without being overrun.
+func (f *fake) crash() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fall(time.Now())
+}
+
 // chill turns the engine cold without a word: its boot stays the same, its
 // steps take longer at once, and what it can hold fades.
 func (f *fake) chill(fading time.Duration) {
@@ -200,6 +215,13 @@
 	f.fall(time.Now())
 }
 
+// cancel ends a sequence with its next step.
+func (f *fake) cancel(s *sequence) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.answer = s.made
+}
+
 // start takes in a sequence.
 func (f *fake) start(s *sequence) (err error) {
 	f.mu.Lock()
--- a/coordination/picker/predict.go
+++ b/coordination/picker/predict.go
@@ -19,7 +19,7 @@
 // predict returns the time to the first token of a request at an endpoint,
 // and the score that also counts what the request would cost others.
 func (p *Picker) predict(now time.Time, s *service, e *endpoint, query *banyanplank.Query) (start, score time.Duration) {
-	fresh := e.freshness(now)
+	fresh := e.heldShare(now, s.typical.hold)
 	start = p.distance(query.Zone, e.member.Zone)
 	start += prefillTime(now, s, e, query.Demand, p.index.Covered(e.index, query.Demand.Prefix))
 	start += queueTime(s, e, query.Demand, fresh)
--- a/coordination/picker/script_test.go
+++ b/coordination/picker/script_test.go
@@ -21,10 +21,11 @@
 
 // TestScenarios plays the scripts in testdata. Their commands are:
 //
-//	policy NAME             ours (the default), earlier, round, random or least
+//	policy NAME             ours (the default), guarded, scattered, earlier, round, random or least
 //	load SHARE              requests offered, as a share of the capacity
 //	accounts SHARE...       the share of each account (default: a large one of ten)
 //	cold                    start all endpoints cold
+//	resend                  callers send again what broke off
 //	at TIME EVENT...        see eventOf
 //	play SPAN               run the scenario
 //	expect MEASURE OP VALUE compare a measure, see measureOf
@@ -39,13 +40,14 @@
 			"policy":   func(ts *testscript.TestScript, _ bool, args []string) { of(ts).policy = args[0] },
 			"load":     func(ts *testscript.TestScript, _ bool, args []string) { of(ts).scenario.load = number(ts, args[0]) },
 			"cold":     func(ts *testscript.TestScript, _ bool, _ []string) { of(ts).scenario.cold = true },
+			"resend":   func(ts *testscript.TestScript, _ bool, _ []string) { of(ts).scenario.resend = true },
 			"accounts": accounts,
 			"at":       at,
 			"play": func(ts *testscript.TestScript, _ bool, args []string) {
 				s := of(ts)
 				s.scenario.span = span(ts, args[0])
 				s.world = simulate(t, policies[s.policy], s.scenario)
-				ts.Logf("%v", s.world.measure(0))
+				ts.Logf("%v sent again %d", s.world.measure(0), s.world.resent)
 			},
 			"expect": expect,
 		},
@@ -80,7 +82,8 @@
 }
 
 // eventOf returns an event: cut ZONE, restore ZONE, restart COUNT agents, chill
-// COUNT engines within TIME, mute COUNT reports, or lie in COUNT reports.
+// COUNT engines within TIME, crash the busiest engine, mute COUNT reports, or lie
+// in COUNT reports.
 func eventOf(ts *testscript.TestScript, s *script, args []string) func(w *world) {
 	first := func(act func(f *fake)) func(w *world) {
 		count := int(number(ts, args[1]))
@@ -101,6 +104,8 @@
 	case "chill":
 		fading := span(ts, args[2])
 		return first(func(f *fake) { f.chill(fading) })
+	case "crash":
+		return func(w *world) { w.busiest().crash() }
 	case "mute":
 		return first(func(f *fake) { f.fault(true, false) })
 	case "lie":
--- a/coordination/picker/world_test.go
+++ b/coordination/picker/world_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"runtime"
-	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -18,6 +16,7 @@
 	"github.com/banyanplank/banyanplank/coordination/admitter"
 	"github.com/banyanplank/banyanplank/coordination/picker"
 	"github.com/banyanplank/banyanplank/coordination/retrier"
+	"github.com/banyanplank/banyanplank/coordination/suspecter"
 )
 
 // The size of the world and what callers want.
@@ -37,7 +36,7 @@
 // policy is a way to pick and to admit.
 type policy struct {
 	picker   func(entry string, zone banyanplank.Zone, source *rand.Rand) banyanplank.Picker
-	admitter func(agent banyanplank.Member) banyanplank.Admitter
+	admitter func(agent banyanplank.Member, f *fake) banyanplank.Admitter
 }
 
 // simple returns a policy that picks by a rule and admits up to a limit.
@@ -46,7 +45,7 @@
 		picker: func(_ string, _ banyanplank.Zone, source *rand.Rand) banyanplank.Picker {
 			return &baseline{rule: rule(source)}
 		},
-		admitter: func(banyanplank.Member) banyanplank.Admitter { return &counting{limit: limit} },
+		admitter: func(banyanplank.Member, *fake) banyanplank.Admitter { return &counting{limit: limit} },
 	}
 }
 
@@ -56,14 +55,16 @@
 		picker: func(entry string, zone banyanplank.Zone, source *rand.Rand) banyanplank.Picker {
 			return picker.New(banyanplank.DaemonID(entry), source, picker.WithZone(zone))
 		},
-		admitter: func(agent banyanplank.Member) banyanplank.Admitter {
+		admitter: func(agent banyanplank.Member, _ *fake) banyanplank.Admitter {
 			return admitter.New(agent.ID, agent.Incarnation, admitter.WithService("chat"), admitter.WithZone(agent.Zone))
 		},
 	},
-	"earlier": simple(func(*rand.Rand) func(*baseline, []banyanplank.Member) banyanplank.Member { return roundRobin }, fakeCapacity),
-	"round":   simple(func(*rand.Rand) func(*baseline, []banyanplank.Member) banyanplank.Member { return roundRobin }, 0),
-	"random":  simple(random, 0),
-	"least":   simple(func(*rand.Rand) func(*baseline, []banyanplank.Member) banyanplank.Member { return leastConnections }, 0),
+	"guarded":   guardedPolicy(true),
+	"scattered": guardedPolicy(false),
+	"earlier":   simple(func(*rand.Rand) func(*baseline, []banyanplank.Member) banyanplank.Member { return roundRobin }, fakeCapacity),
+	"round":     simple(func(*rand.Rand) func(*baseline, []banyanplank.Member) banyanplank.Member { return roundRobin }, 0),
+	"random":    simple(random, 0),
+	"least":     simple(func(*rand.Rand) func(*baseline, []banyanplank.Member) banyanplank.Member { return leastConnections }, 0),
 }
 
 // outcome is what became of one request.
@@ -94,18 +95,22 @@
 
 // world is a deployment of fakes.
 type world struct {
-	fakes     []*fake
-	agents    []banyanplank.Admitter
-	members   []banyanplank.Member
-	pickers   []banyanplank.Picker
-	retriers  []*retrier.Retrier
-	zones     []banyanplank.ZoneSpec
-	accounts  []banyanplank.AccountSpec
-	random    *rand.Rand
-	chats     map[[2]int]int
-	started   time.Time
-	mu        sync.Mutex
-	outcomes  []*outcome
+	fakes    []*fake
+	agents   []banyanplank.Admitter
+	members  []banyanplank.Member
+	pickers  []banyanplank.Picker
+	retriers []*retrier.Retrier
+	zones    []banyanplank.ZoneSpec
+	accounts []banyanplank.AccountSpec
+	random   *rand.Rand
+	chats    map[[2]int]int
+	started  time.Time
+	mu       sync.Mutex
+	outcomes []*outcome
+	// resend makes callers send a request again whose answer broke off, and
+	// resent counts how often.
+	resend    bool
+	resent    int
 	processes conc.WaitGroup
 }
 
@@ -115,7 +120,9 @@
 	span  time.Duration
 	share []float64 // of each account
 	// cold starts all engines cold instead of warm.
-	cold   bool
+	cold bool
+	// resend makes callers send requests again whose answers broke off.
+	resend bool
 	events []event
 }
 
@@ -136,6 +143,7 @@
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	synctest.Test(t, func(*testing.T) {
 		w = newWorld(p, len(s.share))
+		w.resend = s.resend
 		ctx, cancel := context.WithCancel(context.Background())
 		w.serve(ctx)
 		w.prepare(s)
@@ -165,6 +173,9 @@
 
 // warmUp raises an admitter's limit by finished work.
 func warmUp(a banyanplank.Admitter) {
+	if g, ok := a.(*suspecter.Guard); ok {
+		a = g.Admitter
+	}
 	for range 200 {
 		grant, err := a.Admit(context.Background(), &banyanplank.Request{Account: "warm", Demand: banyanplank.Demand{Prompt: 1000}})
 		if err != nil {
@@ -187,7 +198,7 @@
 		m := banyanplank.Member{ID: banyanplank.DaemonID(fmt.Sprint(i)), Incarnation: 1, Role: banyanplank.RoleAgent, Service: "chat", Zone: w.zones[i%3].Name}
 		w.members = append(w.members, m)
 		w.fakes = append(w.fakes, newFake())
-		w.agents = append(w.agents, p.admitter(m))
+		w.agents = append(w.agents, p.admitter(m, w.fakes[i]))
 	}
 	for i := range worldEntries {
 		source := rand.New(rand.NewPCG(uint64(i), 3))
@@ -214,10 +225,21 @@
 		p.Renew(time.Now(), members, w.configuration())
 	}
 	for _, a := range w.agents {
-		if own, ok := a.(*admitter.Admitter); ok {
-			own.Renew(w.configuration())
+		a.Renew(w.configuration())
+	}
+}
+
+// busiest returns the engine that runs most.
+func (w *world) busiest() (most *fake) {
+	running := -1
+	for _, f := range w.fakes {
+		f.mu.Lock()
+		if len(f.running) > running {
+			most, running = f, len(f.running)
 		}
+		f.mu.Unlock()
 	}
+	return most
 }
 
 // agent returns the admitter of an agent.
@@ -233,10 +255,8 @@
 	defer w.mu.Unlock()
 	for i := range count {
 		w.members[i].Incarnation++
-		w.agents[i] = p.admitter(w.members[i])
-		if own, ok := w.agents[i].(*admitter.Admitter); ok {
-			own.Renew(w.configuration())
-		}
+		w.agents[i] = p.admitter(w.members[i], w.fakes[i])
+		w.agents[i].Renew(w.configuration())
 	}
 }
 
@@ -316,84 +336,6 @@
 	now := time.Now()
 	o = &outcome{at: now.Sub(w.started), account: account, blocks: blocks}
 	return &banyanplank.Request{
-		Account: w.accounts[account].Name, Service: "chat", Stream: true, Demand: demand, Deadline: now.Add(patience),
+		Account: w.accounts[account].Name, Service: "chat", Body: fmt.Appendf(nil, "%v %d", chat, turn), Stream: true, Demand: demand, Deadline: now.Add(patience),
 	}, o, (account*31 + chat[1]) % worldEntries
 }
-
-// call forwards a request as an entry does.
-func (w *world) call(entry int, request *banyanplank.Request, o *outcome) {
-	arrived := time.Now()
-	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline)
-	defer cancel()
-	for _, f := range w.fakes {
-		f.mu.Lock()
-		o.best = max(o.best, f.matched(request.Demand.Prefix))
-		f.mu.Unlock()
-	}
-	query := banyanplank.Query{Service: "chat", Account: request.Account, Zone: w.zones[entry%3].Name, Demand: request.Demand}
-	w.retriers[entry].Fresh(request.Account)
-	for number := 1; ; number++ {
-		choice, err := w.pickers[entry].Pick(time.Now(), query)
-		if err != nil {
-			o.refused = true
-			return
-		}
-		s, err := w.attempt(ctx, entry, choice, request, number)
-		if err == nil {
-			o.ok, o.first, o.gaps, o.covered = true, s.first.Sub(arrived), s.gaps, s.covered
-			return
-		}
-		attempt := retrier.Attempt{Account: request.Account, Number: number, Begun: s != nil && s.made > 0, Deadline: request.Deadline}
-		delay, ok := w.retriers[entry].Next(time.Now(), attempt, err)
-		if !ok {
-			var refusal *banyanplank.Refusal
-			o.refused = errors.As(err, &refusal) && refusal.Outcome == banyanplank.NotRun
-			return
-		}
-		time.Sleep(delay)
-		query.Avoid = append(query.Avoid, choice.Member.ID)
-	}
-}
-
-// attempt runs a request at one endpoint.
-func (w *world) attempt(ctx context.Context, entry int, choice banyanplank.Choice, request *banyanplank.Request, number int) (s *sequence, err error) {
-	began := time.Now()
-	result := banyanplank.Result{}
-	defer func() { w.pickers[entry].Finish(time.Now(), choice, result) }()
-	time.Sleep(oneWay)
-	i := slices.IndexFunc(w.members, func(m banyanplank.Member) bool { return m.ID == choice.Member.ID })
-	f := w.fakes[i]
-	f.mu.Lock()
-	down := f.down
-	f.mu.Unlock()
-	if down {
-		return nil, &banyanplank.Refusal{Outcome: banyanplank.NotRun, Reason: banyanplank.ReasonUnreachable}
-	}
-	result.Reached = true
-	own := *request
-	own.Attempt = banyanplank.AttemptID(fmt.Sprintf("%p.%d", request, number))
-	a := w.agent(i)
-	grant, err := a.Admit(ctx, &own)
-	w.pickers[entry].Observe(time.Now(), a.Load())
-	if err != nil {
-		return nil, err
-	}
-	result.Started = true
-	s = &sequence{attempt: own.Attempt, demand: request.Demand, grant: grant, done: make(chan error, 1), answer: 60 + int(choice.At.UnixNano()/1000%120)}
-	if err = f.start(s); err == nil {
-		select {
-		case err = <-s.done:
-		case <-ctx.Done():
-			f.mu.Lock()
-			s.answer = s.made
-			f.mu.Unlock()
-			err = errors.Join(<-s.done, ctx.Err())
-		}
-	}
-	grant.Release(!errors.Is(err, errCut))
-	if err != nil {
-		return s, &banyanplank.Refusal{Outcome: banyanplank.OutcomeUnknown, Reason: banyanplank.ReasonEndpoint}
-	}
-	result.First = s.first.Sub(began)
-	return s, nil
-}
