Prove cold start through the daemons

Cause: the bound of cold start was tested on fakes only.

Change: a test sends 200 calls at once through an entry to two stand-in engines that stay cold.

Conclusion: the wired path keeps the bound.

--- a/daemon/admission_test.go
+++ b/daemon/admission_test.go
@@ -16,10 +16,12 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/daemon"
+	"github.com/banyanplank/banyanplank/standin/engine"
 	"github.com/banyanplank/banyanplank/state/loader"
 )
 
@@ -97,6 +99,59 @@
 	is.Equal(crashes, int64(2))
 }
 
+// TestColdEnginesSurviveOverload sends far more at once than two cold engines
+// carry. Each call gets a whole answer or a refusal that says "not run".
+func TestColdEnginesSurviveOverload(t *testing.T) {
+	is := is.New(t)
+	p := newPath(t, http.NotFoundHandler())
+	ctx, cancel := context.WithCancel(context.Background())
+	group := pool.New().WithContext(ctx).WithFirstError()
+	run := func(settings loader.Settings) {
+		d, err := daemon.New(settings, daemon.WithStore(p.platform), daemon.WithInstances(p.platform))
+		is.NoErr(err)
+		group.Go(d.Run)
+	}
+	var engines []*engine.Engine
+	for i := range 2 {
+		e := engine.New(engine.WithWarmup(time.Hour))
+		engines = append(engines, e)
+		group.Go(func(ctx context.Context) error { e.Run(ctx); return nil })
+		server := httptest.NewServer(e.Handler())
+		t.Cleanup(server.Close)
+		settings := newSettings(t, banyanplank.RoleAgent)
+		settings.Name = banyanplank.DaemonID("engine-" + strconv.Itoa(i))
+		settings.Endpoint = loader.Endpoint{Address: server.URL, Service: "guide", Capacity: 20_000}
+		run(settings)
+	}
+	run(p.entry)
+	t.Cleanup(func() {
+		cancel()
+		is.NoErr(group.Wait())
+	})
+	p.await(t)
+	var whole, refused atomic.Int64
+	var callers conc.WaitGroup
+	for range 200 {
+		callers.Go(func() {
+			status, text := p.ask(t, strings.Repeat("where are the burrows? ", 40))
+			switch {
+			case status == http.StatusOK && strings.HasSuffix(text, "[DONE]\n\n"):
+				whole.Add(1)
+			case strings.Contains(text, string(banyanplank.NotRun)):
+				refused.Add(1)
+			default:
+				t.Errorf("status %d: %s", status, text)
+			}
+		})
+	}
+	callers.Wait()
+	is.True(whole.Load() > 0)
+	is.Equal(whole.Load()+refused.Load(), int64(200))
+	for _, e := range engines {
+		is.Equal(e.Crashes(), 0)
+	}
+}
+
 // awaitMembers waits until an entry knows as many members.
 func (p *path) awaitMembers(t *testing.T, entry loader.Settings, count int) {
 	t.Helper()
