Hand the records of an agent over at a planned stop

Cause: a planned restart of an agent lost its records, so that a caller who repeated a booked key was told outcome unknown although it had run, or had never come. Change: the agent seals its records, writes them with the answers it holds to one object, and its next run speaks for the earlier one.

--- a/coordination/forwarder/delivery_test.go
+++ b/coordination/forwarder/delivery_test.go
@@ -200,7 +200,7 @@
 		for i, at := range restarts {
 			group.Go(func() {
 				time.Sleep(at)
-				w.agents[i%len(w.agents)].restart()
+				w.agents[i%len(w.agents)].restart(i%2 == 0)
 			})
 		}
 		group.Go(func() {
--- a/coordination/forwarder/link_test.go
+++ b/coordination/forwarder/link_test.go
@@ -70,7 +70,7 @@
 	case faultDeath:
 		w.later(0, member.ID, &sent)
 		time.Sleep(time.Millisecond)
-		w.agent(member.ID).restart()
+		w.agent(member.ID).restart(false)
 		return nil, w.await(ctx, "the agent died")
 	}
 	l := w.connect(member.ID, &sent)
--- a/coordination/forwarder/resume_test.go
+++ b/coordination/forwarder/resume_test.go
@@ -20,6 +20,7 @@
 		kind    callKind
 		after   time.Duration
 		restart bool
+		planned bool
 		body    string
 		outcome banyanplank.Outcome
 		runs    int
@@ -33,6 +34,7 @@
 		"stream, agent restarted":     {kind: callStream, restart: true, runs: 2},
 		"own, agent restarted":        {kind: callOwn, restart: true, runs: 1, outcome: banyanplank.OutcomeUnknown},
 		"key, agent restarted":        {kind: callClaim, restart: true, runs: 1, outcome: banyanplank.OutcomeUnknown},
+		"own, planned restart":        {kind: callOwn, restart: true, planned: true, runs: 1, outcome: banyanplank.OutcomeUnknown},
 		"plain, another call's event": {kind: callPlain, body: "another-call", outcome: banyanplank.OutcomeUnknown},
 	}
 	for name, test := range tests {
@@ -48,7 +50,7 @@
 				}
 				place := readTwoParts(t, w, c)
 				if test.restart {
-					w.agent(place.Daemon).restart()
+					w.agent(place.Daemon).restart(test.planned)
 				}
 				time.Sleep(test.after)
 				again := c.request()
--- a/coordination/forwarder/scenario_test.go
+++ b/coordination/forwarder/scenario_test.go
@@ -83,7 +83,7 @@
 				prepare(w, []*call{c})
 				if test.dead {
 					for _, a := range w.agents {
-						a.restart()
+						a.restart(false)
 					}
 				}
 				c.run(w)
--- a/coordination/forwarder/world_test.go
+++ b/coordination/forwarder/world_test.go
@@ -84,6 +84,7 @@
 
 	mu          sync.Mutex
 	incarnation banyanplank.Incarnation
+	records     *recorder.Recorder
 	runner      *runner.Runner
 	old         []*runner.Runner
 	alive       context.Context
@@ -99,7 +100,7 @@
 	}
 	for i := range agents {
 		a := &agent{world: w, id: banyanplank.DaemonID(fmt.Sprintf("agent-%d", i))}
-		a.restart()
+		a.restart(false)
 		w.agents = append(w.agents, a)
 	}
 	for range entries {
@@ -165,20 +166,25 @@
 	return member, false
 }
 
-// restart replaces the agent's run by a new one that knows nothing. What the
-// old one had sent to its endpoint may go on there.
-func (a *agent) restart() {
+// restart replaces the agent's run by a new one, which knows nothing unless the
+// restart is planned. What the old one had sent to its endpoint may go on there.
+func (a *agent) restart(planned bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	var handover recorder.Handover
+	if planned {
+		handover = a.records.Seal(time.Now())
+	}
 	if a.kill != nil {
 		a.kill()
 		a.runner.Stop()
 		a.old = append(a.old, a.runner)
 	}
 	a.incarnation++
-	records := recorder.New(a.id, a.incarnation)
-	a.runner = runner.New(endpoint{a.world}, admitter{a.world}, records,
-		runner.WithHolder(holder.New(holder.WithDaemonBytes(64<<10))))
+	a.records = recorder.New(a.id, a.incarnation)
+	held := holder.New(holder.WithDaemonBytes(64 << 10))
+	a.records.Adopt(held, handover)
+	a.runner = runner.New(endpoint{a.world}, admitter{a.world}, a.records, runner.WithHolder(held))
 	a.alive, a.kill = context.WithCancel(context.Background())
 }
 
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -7,6 +7,8 @@
 
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/runner"
+	"github.com/banyanplank/banyanplank/state/holder"
+	"github.com/banyanplank/banyanplank/state/recorder"
 	"github.com/banyanplank/banyanplank/transport/invoker"
 )
 
@@ -23,6 +25,8 @@
 	daemon   *Daemon
 	endpoint banyanplank.Endpoint
 	admitter banyanplank.Admitter
+	held     *holder.Holder
+	records  *recorder.Recorder
 	runner   *runner.Runner
 	// following counts the entries that follow an answer.
 	following atomic.Int64
@@ -32,7 +36,9 @@
 func newAgent(d *Daemon) (a *agent, err error) {
 	guard := newGuard(d.settings, d.member, invoker.New(d.settings.Endpoint.Address))
 	a = &agent{daemon: d, endpoint: guard.Endpoint(), admitter: guard}
-	a.runner = newRunner(d, a.endpoint, a.admitter)
+	a.held = newHolder(d)
+	a.records = recorder.New(d.member.ID, d.member.Incarnation)
+	a.runner = runner.New(a.endpoint, a.admitter, a.records, runner.WithHolder(a.held))
 	return a, d.listener.HandleCalls(a)
 }
 
@@ -56,12 +62,16 @@
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	a.observe(ctx)
+	taken := a.takeOver(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 			a.observe(ctx)
+			if taken != nil {
+				taken = a.takeOver(ctx)
+			}
 		}
 	}
 }
@@ -90,6 +100,9 @@
 	if !a.daemon.awaitIdle(ctx, a.inFlight) {
 		a.runner.Stop()
 	}
+	if err := a.handOver(ctx); err != nil {
+		a.daemon.logger.Warn().Err(err).Msg("hand_over_failed")
+	}
 }
 
 func (a *agent) inFlight() (requests int) {
--- a/daemon/delivery.go
+++ b/daemon/delivery.go
@@ -10,9 +10,7 @@
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/claimer"
 	"github.com/banyanplank/banyanplank/coordination/forwarder"
-	"github.com/banyanplank/banyanplank/coordination/runner"
 	"github.com/banyanplank/banyanplank/state/holder"
-	"github.com/banyanplank/banyanplank/state/recorder"
 )
 
 const (
@@ -47,13 +45,6 @@
 	return member, false
 }
 
-// newRunner returns what runs an agent's requests.
-func newRunner(d *Daemon, endpoint banyanplank.Endpoint, admitter banyanplank.Admitter) *runner.Runner {
-	held := newHolder(d)
-	records := recorder.New(d.member.ID, d.member.Incarnation)
-	return runner.New(endpoint, admitter, records, runner.WithHolder(held))
-}
-
 // newHolder returns the budgets for held answers and shows their use.
 func newHolder(d *Daemon) (held *holder.Holder) {
 	budget := int(d.settings.Limits.Held)
--- a/state/holder/stream.go
+++ b/state/holder/stream.go
@@ -254,6 +254,29 @@
 	}
 }
 
+// Account returns the client account of the stream.
+func (s *Stream) Account() (id banyanplank.AccountID) { return s.id }
+
+// Whole returns the head and all parts of a whole answer. It fails when some
+// parts were given up.
+func (s *Stream) Whole() (head banyanplank.Head, parts [][]byte, err error) {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	reader := s.Reader(0)
+	head, err = reader.Head(ended)
+	for err == nil {
+		var part banyanplank.Part
+		part, err = reader.Next(ended)
+		if err == nil {
+			parts = append(parts, part.Data)
+		}
+	}
+	if errors.Is(err, io.EOF) {
+		return head, parts, nil
+	}
+	return head, nil, err
+}
+
 // Held returns the bytes that the stream is charged for.
 func (s *Stream) Held() (bytes int) {
 	s.holder.mu.Lock()
--- a/state/recorder/recorder.go
+++ b/state/recorder/recorder.go
@@ -57,6 +57,10 @@
 	records  map[banyanplank.Digest]*record
 	released int
 	swept    time.Time
+	// sealed tells that the records have been handed over.
+	sealed bool
+	// adopted holds the keys of earlier runs by their incarnation.
+	adopted map[banyanplank.Incarnation]map[banyanplank.Digest]adopted
 }
 
 // Option configures a [Recorder].
@@ -90,6 +94,7 @@
 		keep:        DefaultKeep,
 		horizon:     DefaultHorizon,
 		records:     make(map[banyanplank.Digest]*record),
+		adopted:     make(map[banyanplank.Incarnation]map[banyanplank.Digest]adopted),
 	}
 	for _, option := range options {
 		option(r)
@@ -112,7 +117,11 @@
 	defer r.mu.Unlock()
 	r.sweep(now)
 	if binding.Daemon != r.daemon || binding.Incarnation != r.incarnation {
-		return false, nil, r.foreign()
+		earlier, err = r.inherited(key, binding)
+		return false, earlier, err
+	}
+	if r.sealed {
+		return false, nil, refuse(banyanplank.OutcomeUnknown, banyanplank.ReasonLeaving, "The agent has stopped.")
 	}
 	known, ok := r.records[key]
 	if ok && known.call != binding.Call {
@@ -197,7 +206,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known, found := r.records[key]
-	if !found || known.generation != generation || known.stage != stageWaiting {
+	if !found || r.sealed || known.generation != generation || known.stage != stageWaiting {
 		return false
 	}
 	known.stage = stageStarted
