Probe only quiet connections

Cause: a probe every 500 ms on every stream is, at 27,600 streams in the fleet, some 130 streams an entry, 260 probes and as many answers a second each, although tokens and acknowledgments flow anyway. Change: a probe is due when nothing was sent or nothing was heard for the interval. Conclusion: a stream of tokens at 62 ms sends its acknowledgments only; the times to notice silence are unchanged, as the tests show.

--- a/transport/dialer/call.go
+++ b/transport/dialer/call.go
@@ -228,6 +228,7 @@
 	if c.unacked >= ackBytes {
 		c.unacked = 0
 		_ = c.sendAck(c.passed)
+		c.prober.Sent(time.Now())
 	}
 }
 
--- a/transport/prober/prober.go
+++ b/transport/prober/prober.go
@@ -44,6 +44,7 @@
 	interval time.Duration
 	timeout  time.Duration
 	heard    atomic.Int64
+	sent     atomic.Int64
 	probed   atomic.Int64
 	asked    atomic.Int64
 }
@@ -51,9 +52,9 @@
 // Option configures a [Prober].
 type Option func(*Prober)
 
-// WithInterval sets the time between two probes. They are sent on a busy
-// connection too, since the peer hears of this end by nothing else. Use a
-// shorter one where a dead path must be noticed sooner. The default is
+// WithInterval sets how long a connection may be quiet in either direction
+// before it is probed. Use a shorter one where a dead path must be noticed
+// sooner. The default is
 // [DefaultInterval].
 func WithInterval(interval time.Duration) Option {
 	return func(p *Prober) { p.interval = interval }
@@ -73,6 +74,7 @@
 		option(p)
 	}
 	p.heard.Store(now.UnixNano())
+	p.sent.Store(now.UnixNano())
 	p.probed.Store(now.UnixNano())
 	p.asked.Store(now.UnixNano())
 	return p
@@ -83,6 +85,12 @@
 	p.heard.Store(now.UnixNano())
 }
 
+// Sent tells that a message of any kind was sent. The peer needs no probe to
+// hear of this end then.
+func (p *Prober) Sent(now time.Time) {
+	p.sent.Store(now.UnixNano())
+}
+
 // Idle returns how long nothing has arrived.
 func (p *Prober) Idle(now time.Time) (idle time.Duration) {
 	return time.Duration(now.UnixNano() - p.heard.Load())
@@ -101,8 +109,9 @@
 	if idle >= p.timeout {
 		return Fail, 0
 	}
-	sent := time.Duration(now.UnixNano() - p.probed.Load())
-	if sent >= p.interval {
+	probed := time.Duration(now.UnixNano() - p.probed.Load())
+	sent := min(probed, time.Duration(now.UnixNano()-p.sent.Load()))
+	if sent >= p.interval || idle >= p.interval && probed >= p.interval {
 		p.probed.Store(now.UnixNano())
 		return Probe, min(p.interval, p.timeout-idle)
 	}
--- a/transport/prober/prober_test.go
+++ b/transport/prober/prober_test.go
@@ -54,6 +54,30 @@
 	})
 }
 
+// TestBusyConnectionIsNotProbed sends and hears often, then stops to hear.
+func TestBusyConnectionIsNotProbed(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	p := prober.New(now)
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		p.Heard(now)
+		p.Sent(now)
+		action, _ := p.Due(now)
+		is.Equal(action, prober.Wait)
+	}
+	var actions []prober.Action
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		p.Sent(now)
+		action, _ := p.Due(now)
+		if action != prober.Wait {
+			actions = append(actions, action)
+		}
+	}
+	is.Equal(actions, []prober.Action{prober.Probe, prober.Probe, prober.Probe, prober.Fail})
+}
+
 func TestDue(t *testing.T) {
 	start := time.Unix(1000, 0)
 	tests := map[string]struct {
