Give up all pooled connections to a peer when one went silent

Cause: connections go silent together, and each call that took one from the pool lost 2 s, or failed to identify its agent. Change: an unsound connection takes the idle ones to the same peer with it, and Identify tries once more over a fresh one.

--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -28,7 +28,7 @@
 	// connectTimeout bounds a connection attempt, TLS included.
 	connectTimeout = 2 * time.Second
 	// identifyTimeout bounds the wait for an agent's incarnation.
-	identifyTimeout = time.Second
+	identifyTimeout = 500 * time.Millisecond
 	// idleTimeout closes a connection that no call has used.
 	idleTimeout = 30 * time.Second
 	// cancelGrace lets a send in progress finish before a canceled call
@@ -188,22 +188,34 @@
 	return nil, nil, &dialError{cause: err}
 }
 
-// Identify asks the agent at the member's address which run of it answers. The
-// error is a [*banyanplank.Refusal].
+// Identify asks the agent at the member's address which run of it answers. A
+// connection from the pool that does not answer is replaced by a fresh one. The
+// error is a [*banyanplank.Refusal] with [banyanplank.NotRun].
 func (d *Dialer) Identify(ctx context.Context, member banyanplank.Member) (incarnation banyanplank.Incarnation, err error) {
+	incarnation, err = d.identify(ctx, member, false)
+	if err != nil && ctx.Err() == nil {
+		incarnation, err = d.identify(ctx, member, true)
+	}
+	if err != nil {
+		return 0, refuse(&dialError{cause: err})
+	}
+	return incarnation, nil
+}
+
+func (d *Dialer) identify(ctx context.Context, member banyanplank.Member, fresh bool) (incarnation banyanplank.Incarnation, err error) {
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
-	conn, err := d.take(ctx, member.Peer, false)
+	conn, err := d.take(ctx, member.Peer, fresh)
 	if err != nil {
-		return 0, refuse(err)
+		return 0, err
 	}
 	reply, err := carrier.NewDRPCCarrierClient(conn).Identify(ctx, &carrier.IdentifyRequest{})
 	d.put(member.Peer, conn, err == nil)
-	if err == nil && reply.GetDaemon() != string(member.ID) {
-		err = errors.Newf("%s answers in place of %s", reply.GetDaemon(), member.ID)
-	}
 	if err != nil {
-		return 0, refuse(&dialError{cause: err})
+		return 0, err
+	}
+	if reply.GetDaemon() != string(member.ID) {
+		return 0, errors.Newf("%s answers in place of %s", reply.GetDaemon(), member.ID)
 	}
 	return banyanplank.Incarnation(reply.GetIncarnation()), nil
 }
@@ -218,13 +230,22 @@
 	return d.dial(ctx, address)
 }
 
-// put returns a sound connection to the pool and closes any other.
+// put returns a sound connection to the pool. Any other is closed, together with
+// all that wait in the pool for the same peer: what has silenced one of them may
+// have silenced them all, and a new one costs less than finding out.
 func (d *Dialer) put(address netip.AddrPort, conn *drpcconn.Conn, sound bool) {
 	if sound {
 		d.pool.Put(address, conn)
 		return
 	}
 	_ = conn.Close()
+	for {
+		idle, ok := d.pool.Take(address)
+		if !ok {
+			return
+		}
+		_ = idle.Close()
+	}
 }
 
 // Detach makes calls that end from now on leave their requests running, so
