Serve ranks in turn while a map is brought into use

Cause: with more ranks than the pace allows orders in a retry time, the coordinator asked the first armed ranks for their status again and again, and the others never got their order. The benchmark of a whole switch never ended at 64 ranks.

Change: ranks that have waited longest are served first; a need that has not changed is served again only after the retry time; a rank that says it is loading is only asked. The limit of a switch is 10 minutes, so the scenario in which one rank never gets its order waits longer than that.

--- a/coordination/switcher/coordinator.go
+++ b/coordination/switcher/coordinator.go
@@ -43,10 +43,10 @@
 const (
 	defaultRetry = 2 * time.Second
 	defaultPoll  = time.Minute
-	defaultLimit = 5 * time.Minute
+	defaultLimit = 10 * time.Minute
 	// defaultPace is the orders a second, which bounds the coordinator's
 	// traffic.
-	defaultPace = 8
+	defaultPace = 5
 )
 
 // Coordinator is the control state of a group's switches. Update it from one
@@ -91,6 +91,8 @@
 	accepted uint64
 	sent     uint64
 	sentAt   time.Time
+	// asked is what the latest order or query was for.
+	asked need
 }
 
 // Option configures a [Coordinator].
@@ -110,13 +112,13 @@
 
 // WithLimit bounds the time from the announcement of a map until all ranks use
 // it. After that it is given up. Use the time that loading the weights may
-// take. The default is 5 minutes.
+// take. The default is 10 minutes.
 func WithLimit(limit time.Duration) Option {
 	return func(c *Coordinator) { c.limit = limit }
 }
 
 // WithPace bounds the orders and queries a second. Use the traffic that the
-// coordinator may cause over the size of an order. The default is 8.
+// coordinator may cause over the size of an order. The default is 5.
 func WithPace(orders float64) Option {
 	return func(c *Coordinator) { c.pace = orders }
 }
--- a/coordination/switcher/switch.go
+++ b/coordination/switcher/switch.go
@@ -1,6 +1,7 @@
 package switcher
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,7 +34,7 @@
 		}
 		c.round = c.serial
 	}
-	for rank := range c.ranks {
+	for _, rank := range c.byTurn() {
 		if c.ranks[rank].accepted > c.round {
 			continue
 		}
@@ -88,7 +89,7 @@
 		c.polled = now
 		c.round = c.serial
 	}
-	for rank := range c.ranks {
+	for _, rank := range c.byTurn() {
 		if c.ranks[rank].accepted > c.round || !c.mayAsk(now, rank) {
 			continue
 		}
@@ -109,22 +110,69 @@
 		c.prepared = true
 		commands = append(commands, EventCmd{Kind: EventPrepared, Fence: c.fence, Map: c.target.ID})
 	}
-	step := c.nextStep()
-	for rank := range c.ranks {
-		s := c.ranks[rank].status
-		switch {
-		case s.Prepared != c.target.ID:
-			commands = append(commands, c.order(now, rank, c.prepareCmd())...)
-		case ready && s.Armed != c.target.ID:
-			order := banyanplank.Order{Kind: banyanplank.OrderSwitch, Fence: c.fence, Map: uint64(c.target.ID), Step: step}
-			commands = append(commands, c.order(now, rank, OrderCmd{Order: order})...)
-		case ready:
-			commands = append(commands, c.query(now, rank)...)
-		}
+	for _, rank := range c.byTurn() {
+		commands = append(commands, c.serve(now, rank, ready)...)
 	}
 	return commands
 }
 
+// need is what a rank needs next on the way to the target map.
+type need uint8
+
+// The needs of a rank, the most urgent first.
+const (
+	needPrepare need = iota
+	needArm
+	needQuery
+)
+
+// needOf returns what a rank needs. A rank that is loading, or is armed, only
+// needs to be asked now and then.
+func (c *Coordinator) needOf(rank int, ready bool) (n need) {
+	s := c.ranks[rank].status
+	switch {
+	case s.Prepared != c.target.ID && s.Loading != c.target.ID:
+		return needPrepare
+	case ready && s.Armed != c.target.ID:
+		return needArm
+	default:
+		return needQuery
+	}
+}
+
+// byTurn returns the ranks in the order in which they are served: those that
+// have waited longest first, so that the pace starves none.
+func (c *Coordinator) byTurn() (order []int) {
+	order = make([]int, len(c.ranks))
+	for rank := range order {
+		order[rank] = rank
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return c.ranks[a].sentAt.Compare(c.ranks[b].sentAt)
+	})
+	return order
+}
+
+// serve gives a rank what it needs. A need that has not changed since the last
+// order is served again only after the retry time.
+func (c *Coordinator) serve(now time.Time, rank int, ready bool) (commands []banyanplank.Command) {
+	n := c.needOf(rank, ready)
+	r := &c.ranks[rank]
+	if r.asked == n && now.Sub(r.sentAt) < c.retry || !c.mayAsk(now, rank) {
+		return nil
+	}
+	r.asked = n
+	switch n {
+	case needPrepare:
+		return c.order(now, rank, c.prepareCmd())
+	case needArm:
+		order := banyanplank.Order{Kind: banyanplank.OrderSwitch, Fence: c.fence, Map: uint64(c.target.ID), Step: c.nextStep()}
+		return c.order(now, rank, OrderCmd{Order: order})
+	default:
+		return c.query(now, rank)
+	}
+}
+
 // prepareCmd returns the order to prepare the target map.
 func (c *Coordinator) prepareCmd() OrderCmd {
 	order := banyanplank.Order{Kind: banyanplank.OrderPrepare, Fence: c.fence, Map: uint64(c.target.ID)}
@@ -166,9 +214,6 @@
 
 // query asks a rank for its status.
 func (c *Coordinator) query(now time.Time, rank int) (commands []banyanplank.Command) {
-	if now.Sub(c.ranks[rank].sentAt) < c.retry || !c.mayAsk(now, rank) {
-		return nil
-	}
 	return []banyanplank.Command{StatusCmd{Rank: rank, Serial: c.next(now, rank), Fence: c.fence}}
 }
 
--- a/protocol/orderer/orderer.go
+++ b/protocol/orderer/orderer.go
@@ -109,6 +109,7 @@
 		Step:     status.Step,
 		Prepared: uint64(status.Prepared),
 		Armed:    uint64(status.Armed),
+		Loading:  uint64(status.Loading),
 	}
 }
 
@@ -120,6 +121,7 @@
 		Step:     message.GetStep(),
 		Prepared: banyanplank.MapID(message.GetPrepared()),
 		Armed:    banyanplank.MapID(message.GetArmed()),
+		Loading:  banyanplank.MapID(message.GetLoading()),
 	}
 }
 
--- a/rankload.go
+++ b/rankload.go
@@ -34,6 +34,8 @@
 	Map MapID `json:"map"`
 	// Step is the latest step that the rank has begun.
 	Step uint64 `json:"step"`
+	// Loading is the map whose weights are on their way.
+	Loading MapID `json:"loading,omitempty"`
 	// Prepared is the map whose weights are loaded beside those in use.
 	Prepared MapID `json:"prepared,omitempty"`
 	// Armed is the prepared map that the rank offers at its barriers.
