Rebalance a group under the operators' hands

Cause: the aggregator, the planner and the switcher need one owner that plans at each interval, holds still when operators say so, and names the ranks that hold up the others.

Change: package rebalancer, a pure model around the coordinator: demand and plans at each interval, pause, quiet hours, a rebalancing by hand, stalls, a status, and a picture of the load of each rank. A budget of zero bytes moves nothing.

Figures: go test ./coordination/rebalancer passes: a group of 4 ranks goes from a skew above 1.3 to below 1.1, stays on its map for 20 minutes of steady demand, follows a flip, and empties a lastingly stalled rank and fills it again.

Conclusion: what is missing is the daemon around it.

--- a/coordination/aggregator/stall.go
+++ b/coordination/aggregator/stall.go
@@ -157,3 +157,8 @@
 func (a *Aggregator) LastReport(rank int) (at time.Time, mapID banyanplank.MapID) {
 	return a.ranks[rank].at, a.ranks[rank].mapID
 }
+
+// IsLike reports whether other names the same rank for the same reason.
+func (s Stall) IsLike(other Stall) bool {
+	return s.Rank == other.Rank && s.Kind == other.Kind && s.Lasting == other.Lasting
+}
--- /dev/null
+++ b/coordination/rebalancer/rebalancer_test.go
@@ -0,0 +1,265 @@
+package rebalancer_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/aggregator"
+	"github.com/banyanplank/banyanplank/coordination/planner"
+	"github.com/banyanplank/banyanplank/coordination/rebalancer"
+	"github.com/banyanplank/banyanplank/coordination/switcher"
+	"github.com/banyanplank/banyanplank/standin/ranks"
+)
+
+var shape = banyanplank.MapShape{Ranks: 4, Layers: 2, Experts: 8, Slots: 3}
+
+// bench is a group of ranks under a rebalancer. Messages arrive at once.
+type bench struct {
+	is         *is.I
+	now        time.Time
+	rebalancer *rebalancer.Rebalancer
+	gates      []*switcher.Gate
+	group      *ranks.Group
+	maps       map[banyanplank.MapID]banyanplank.ExpertMap
+	version    banyanplank.Version
+	plans      int
+	stalls     []rebalancer.StallCmd
+	// demand is the tokens a second of each expert in every layer.
+	demand []float64
+	late   map[int]time.Duration
+	sent   uint64
+}
+
+func newBench(t *testing.T, spec banyanplank.GroupSpec) *bench {
+	is := is.New(t)
+	initial, err := banyanplank.NewExpertMap("g", 1, shape)
+	is.NoErr(err)
+	coordinator, err := switcher.NewCoordinator(initial, switcher.WithPace(100))
+	is.NoErr(err)
+	b := &bench{
+		is:     is,
+		now:    time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC),
+		group:  ranks.NewGroup(shape.Ranks, 1),
+		maps:   map[banyanplank.MapID]banyanplank.ExpertMap{1: initial},
+		demand: []float64{9000, 1000, 1000, 1000, 1000, 1000, 1000, 1000},
+		late:   map[int]time.Duration{},
+	}
+	b.rebalancer = rebalancer.New(initial, coordinator,
+		rebalancer.WithExpert(1<<20),
+		rebalancer.WithPrices(planner.Prices{
+			Fixed: 10 * time.Millisecond, Token: 20 * time.Microsecond, Steps: 20,
+			Load: time.Millisecond, Switch: time.Millisecond, Horizon: 10 * time.Minute,
+		}))
+	for range shape.Ranks {
+		gate := switcher.NewGate()
+		gate.Update(b.now, switcher.RecordMsg{Record: switcher.Record{Fence: 1}})
+		b.gates = append(b.gates, gate)
+	}
+	b.tell(rebalancer.GroupMsg{Spec: spec})
+	b.tell(switcher.LeaseMsg{Fence: 1, Until: b.now.Add(24 * time.Hour)})
+	return b
+}
+
+func (b *bench) tell(msg banyanplank.Msg) {
+	_, commands := b.rebalancer.Update(b.now, msg)
+	for _, command := range commands {
+		b.execute(command)
+	}
+}
+
+func (b *bench) execute(command banyanplank.Command) {
+	switch c := command.(type) {
+	case switcher.ReadRecordCmd:
+		b.tell(switcher.RecordMsg{Err: banyanplank.ErrNotFound})
+	case switcher.WriteRecordCmd:
+		b.version++
+		for _, m := range c.Record.Maps {
+			b.maps[m.ID] = m
+		}
+		b.tell(switcher.RecordMsg{Record: c.Record, Version: b.version})
+	case switcher.OrderCmd:
+		b.give(c.Rank, switcher.OrderMsg{Serial: c.Serial, Order: c.Order})
+	case switcher.StatusCmd:
+		b.give(c.Rank, switcher.OrderMsg{Serial: c.Serial, Order: banyanplank.Order{Fence: c.Fence}, Query: true})
+	case rebalancer.PlanCmd:
+		b.plans++
+		b.tell(c.Plan())
+	case rebalancer.StallCmd:
+		b.stalls = append(b.stalls, c)
+	case rebalancer.PlannedCmd:
+		b.is.NoErr(c.Err)
+	}
+}
+
+func (b *bench) give(rank int, msg switcher.OrderMsg) {
+	_, commands := b.gates[rank].Update(b.now, msg)
+	for _, command := range commands {
+		if pass, ok := command.(switcher.PassCmd); ok {
+			reply := switcher.ReplyMsg{Rank: rank, Serial: msg.Serial}
+			if !pass.Query {
+				reply.Err = b.group.Order(rank, pass.Order)
+			}
+			reply.Status, _ = b.group.Status(rank)
+			b.gates[rank].Update(b.now, switcher.EndpointMsg{Call: pass.Call})
+			b.tell(reply)
+		}
+	}
+}
+
+// minutes lets time pass with reports from all ranks.
+func (b *bench) minutes(n int) {
+	for range n {
+		b.sent++
+		for rank := range shape.Ranks {
+			b.tell(rebalancer.LoadMsg{Load: b.report(rank)})
+		}
+		for range 60 {
+			b.now = b.now.Add(time.Second)
+			b.group.Advance()
+			b.tell(banyanplank.TickMsg{})
+		}
+	}
+}
+
+// report counts what a rank has to do under the map in use.
+func (b *bench) report(rank int) (report banyanplank.RankLoad) {
+	status, _ := b.group.Status(rank)
+	m := b.maps[status.Map]
+	report = banyanplank.RankLoad{
+		Group: "g", Rank: rank, Incarnation: 1, Sequence: b.sent,
+		Map: m.ID, Span: time.Minute, Arrived: status.Step, Late: b.late[rank],
+	}
+	for layer := range shape.Layers {
+		for slot := range shape.Slots {
+			tokens := 0.0
+			if e := m.Places[m.Index(layer, rank, slot)]; e != banyanplank.NoExpert {
+				homes := 0.0
+				for r := range shape.Ranks {
+					if m.Holds(layer, r, e) {
+						homes++
+					}
+				}
+				tokens = 60 * b.demand[e] / homes
+			}
+			report.Tokens = append(report.Tokens, uint32(tokens))
+		}
+	}
+	return report
+}
+
+// heaviest returns the load of the heaviest rank over the mean.
+func (b *bench) heaviest() (skew float64) {
+	for _, load := range b.rebalancer.Status(b.now).Loads {
+		skew = max(skew, load)
+	}
+	return skew
+}
+
+func spec() banyanplank.GroupSpec {
+	return banyanplank.GroupSpec{Name: "g", Ranks: 4, Layers: 2, Experts: 8, Slots: 3, Bytes: 100 << 20, Gain: 0.01}
+}
+
+func TestGroupIsBalanced(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, spec())
+	b.minutes(2)
+	b.minutes(8)
+	status := b.rebalancer.Status(b.now)
+	is.True(status.Map > 1)
+	is.True(b.heaviest() < 1.1)
+	is.Equal(status.Phase, switcher.Idle)
+	is.True(status.Skew[0] > 1.3)
+	is.True(status.Skew[len(status.Skew)-1] < 1.1)
+	settled := status.Map
+	b.minutes(20)
+	is.Equal(b.rebalancer.Status(b.now).Map, settled) // steady demand moves nothing more
+	b.demand[0], b.demand[7] = 1000, 9000
+	b.minutes(6)
+	is.True(b.rebalancer.Status(b.now).Map > settled)
+	is.True(b.heaviest() < 1.1)
+}
+
+func TestOperatorsHoldAndForce(t *testing.T) {
+	noon := banyanplank.Duration(12 * time.Hour)
+	tests := map[string]struct {
+		change func(*banyanplank.GroupSpec)
+		held   bool
+		// forced tells that a rebalancing asked for by hand changes the map.
+		forced bool
+	}{
+		"free":                {func(*banyanplank.GroupSpec) {}, false, true},
+		"paused":              {func(s *banyanplank.GroupSpec) { s.Paused = true }, true, true},
+		"quiet hours":         {func(s *banyanplank.GroupSpec) { s.Quiet = []banyanplank.QuietSpan{{From: noon, Until: 2 * noon}} }, true, true},
+		"quiet over midnight": {func(s *banyanplank.GroupSpec) { s.Quiet = []banyanplank.QuietSpan{{From: noon - 1, Until: 1}} }, true, true},
+		"quiet at night":      {func(s *banyanplank.GroupSpec) { s.Quiet = []banyanplank.QuietSpan{{From: 0, Until: noon}} }, false, true},
+		"no bytes to move":    {func(s *banyanplank.GroupSpec) { s.Bytes = 0 }, false, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := spec()
+			test.change(&s)
+			b := newBench(t, s)
+			b.minutes(5)
+			status := b.rebalancer.Status(b.now)
+			is.Equal(status.Held, test.held)
+			is.Equal(status.Map > 1, !test.held && test.forced)
+			b.tell(rebalancer.RebalanceMsg{})
+			b.minutes(2)
+			is.Equal(b.rebalancer.Status(b.now).Map > 1, test.forced)
+		})
+	}
+}
+
+func TestLastingStallIsNamedAndPlannedWithout(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, spec())
+	b.minutes(5)
+	b.late[2] = 5 * time.Second
+	b.minutes(1)
+	is.Equal(len(b.stalls), 1)
+	is.Equal(b.stalls[0].Stall.Rank, 2)
+	is.Equal(b.stalls[0].Stall.Kind, aggregator.Stalled)
+	is.Equal(b.stalls[0].Stall.Lasting, false)
+	b.late[2] = time.Minute
+	b.minutes(4)
+	status := b.rebalancer.Status(b.now)
+	is.True(status.Stalls[0].Lasting)
+	m := b.maps[status.Map]
+	for layer := range shape.Layers {
+		for e := range uint16(shape.Experts) {
+			is.Equal(m.Holds(layer, 2, e), false)
+		}
+	}
+	delete(b.late, 2)
+	b.minutes(5)
+	is.True(b.stalls[len(b.stalls)-1].Ended)
+	is.True(b.heaviest() < 1.1) // the rank carries its share again
+}
+
+func TestMissingReportsStopPlanning(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, spec())
+	for range 200 {
+		b.now = b.now.Add(time.Second)
+		b.tell(banyanplank.TickMsg{})
+	}
+	is.Equal(b.plans, 0)
+	is.Equal(b.rebalancer.Status(b.now).Problem, `no rank has reported expert 0 of layer 0 of group "g"`)
+}
+
+func TestPictureShowsEveryRank(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, spec())
+	b.minutes(2)
+	var page bytes.Buffer
+	is.NoErr(rebalancer.WritePicture(&page, b.rebalancer.Status(b.now)))
+	is.Equal(strings.Count(page.String(), "<rect"), 3*shape.Ranks)
+	is.True(strings.Contains(page.String(), "After the latest plan: heaviest"))
+	is.Equal(strings.Contains(page.String(), "ZgotmplZ"), false)
+}
