--- a/configuration.go
+++ b/configuration.go
@@ -68,6 +68,12 @@
 	Bytes int64 `toml:"bytes,omitempty"`
 	// Gain is the least relative step-time gain that justifies a move.
 	Gain float64 `toml:"gain,omitempty"`
+	// Weight is the size of one expert's weights in one layer, in bytes.
+	Weight int64 `toml:"weight,omitempty"`
+	// Step is the part of a step's time that no expert map changes, and Token
+	// the time that one token of one expert adds to a rank's step.
+	Step  Duration `toml:"step,omitempty"`
+	Token Duration `toml:"token,omitempty"`
 	// Paused stops rebalancing.
 	Paused bool `toml:"paused,omitempty"`
 	// Quiet lists the daily spans in which no weights move.
--- a/coordination/rebalancer/rebalancer.go
+++ b/coordination/rebalancer/rebalancer.go
@@ -7,7 +7,6 @@
 package rebalancer
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -24,6 +23,14 @@
 	defaultInterval = time.Minute
 	// historySize is the number of intervals whose skew is kept.
 	historySize = 60
+	// interference is the share of each step that loading weights takes.
+	interference = 0.05
+	// switchCost is the step time that a switch of the map takes.
+	switchCost = 3 * time.Millisecond
+	// horizon is how long the demand is expected to last.
+	horizon = 10 * time.Minute
+	// assumedSteps is the steps a second of a group that has not told yet.
+	assumedSteps = 20
 	// stagingShare is the part of its slots that a rank may fill in one plan,
 	// at least leastStaging.
 	stagingShare = 16
@@ -80,8 +87,7 @@
 	coordinator *switcher.Coordinator
 	aggregator  *aggregator.Aggregator
 	interval    time.Duration
-	expert      int64
-	prices      planner.Prices
+	steps       float64
 
 	spec       banyanplank.GroupSpec
 	ranks      []planner.Rank
@@ -110,25 +116,20 @@
 	return func(r *Rebalancer) { r.interval = interval }
 }
 
-// WithExpert sets the size of one expert's weights in one layer, in bytes. Use
-// the size in the weight store. Without it no weights move.
-func WithExpert(bytes int64) Option {
-	return func(r *Rebalancer) { r.expert = bytes }
-}
-
-// WithPrices sets what a plan is worth and costs. Use what the engine's steps
-// take. Without it no plan is made.
-func WithPrices(prices planner.Prices) Option {
-	return func(r *Rebalancer) { r.prices = prices }
+// WithSteps sets the steps that the group makes in a second, which turns
+// demand into the load of one step. The default is 20.
+func WithSteps(steps float64) Option {
+	return func(r *Rebalancer) { r.steps = steps }
 }
 
 // New returns a rebalancer around a coordinator for the group of the map.
-func New(initial banyanplank.ExpertMap, coordinator *switcher.Coordinator, options ...Option) *Rebalancer {
-	r := &Rebalancer{coordinator: coordinator, interval: defaultInterval}
+// Without the sizes and times in spec it never asks for a plan.
+func New(spec banyanplank.GroupSpec, initial banyanplank.ExpertMap, coordinator *switcher.Coordinator, options ...Option) *Rebalancer {
+	r := &Rebalancer{coordinator: coordinator, interval: defaultInterval, spec: spec, steps: assumedSteps}
 	for _, option := range options {
 		option(r)
 	}
-	cost := aggregator.StepCost{Fixed: r.prices.Fixed, Token: r.prices.Token, Steps: r.prices.Steps}
+	cost := aggregator.StepCost{Fixed: time.Duration(spec.Step), Token: time.Duration(spec.Token), Steps: r.steps}
 	r.aggregator = aggregator.New(initial, aggregator.WithFresh(3*r.interval), aggregator.WithStepCost(cost))
 	r.ranks = make([]planner.Rank, initial.Shape.Ranks)
 	return r
@@ -198,7 +199,7 @@
 	if !wanted || r.planning || r.demandErr != nil || len(r.popularity.Tokens) == 0 {
 		return nil
 	}
-	if r.coordinator.Phase() != switcher.Idle || r.prices.Steps == 0 {
+	if r.coordinator.Phase() != switcher.Idle || r.spec.Token <= 0 || r.spec.Weight <= 0 {
 		return nil
 	}
 	r.asked = false
@@ -221,19 +222,35 @@
 		Popularity: r.popularity,
 		Ranks:      ranks,
 		Limits:     r.limits(current.Shape),
-		Prices:     r.prices,
+		Prices:     r.prices(),
 		Next:       banyanplank.NewMapID(r.coordinator.Fence(), r.sequence),
 	}
 }
 
-// limits turns what operators declared into the limits of a plan.
+// limits turns what operators declared into the limits of a plan. Without a
+// bound on bytes nothing moves.
 func (r *Rebalancer) limits(shape banyanplank.MapShape) (limits planner.Limits) {
-	limits.Gain = r.spec.Gain
-	limits.Staging = max(leastStaging, shape.Layers*shape.Slots/stagingShare)
-	if r.expert > 0 {
-		limits.Loads = int(math.Floor(float64(r.spec.Bytes) * r.interval.Minutes() / float64(r.expert)))
+	return planner.Limits{
+		Loads:   int(float64(r.spec.Bytes) * r.interval.Minutes() / float64(r.spec.Weight)),
+		Staging: max(leastStaging, shape.Layers*shape.Slots/stagingShare),
+		Gain:    r.spec.Gain,
+	}
+}
+
+// prices turns what operators declared into the prices of a plan.
+func (r *Rebalancer) prices() (prices planner.Prices) {
+	prices = planner.Prices{
+		Fixed:   time.Duration(r.spec.Step),
+		Token:   time.Duration(r.spec.Token),
+		Steps:   r.steps,
+		Switch:  switchCost,
+		Horizon: horizon,
+	}
+	if r.spec.Bytes > 0 {
+		perLoad := float64(r.spec.Weight) / float64(r.spec.Bytes)
+		prices.Load = time.Duration(interference * perLoad * float64(time.Minute))
 	}
-	return limits
+	return prices
 }
 
 // takePlan hands a plan that moves experts to the coordinator.
--- a/coordination/rebalancer/rebalancer_test.go
+++ b/coordination/rebalancer/rebalancer_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/aggregator"
-	"github.com/banyanplank/banyanplank/coordination/planner"
 	"github.com/banyanplank/banyanplank/coordination/rebalancer"
 	"github.com/banyanplank/banyanplank/coordination/switcher"
 	"github.com/banyanplank/banyanplank/standin/ranks"
@@ -49,18 +48,12 @@
 		demand: []float64{9000, 1000, 1000, 1000, 1000, 1000, 1000, 1000},
 		late:   map[int]time.Duration{},
 	}
-	b.rebalancer = rebalancer.New(initial, coordinator,
-		rebalancer.WithExpert(1<<20),
-		rebalancer.WithPrices(planner.Prices{
-			Fixed: 10 * time.Millisecond, Token: 20 * time.Microsecond, Steps: 20,
-			Load: time.Millisecond, Switch: time.Millisecond, Horizon: 10 * time.Minute,
-		}))
+	b.rebalancer = rebalancer.New(spec, initial, coordinator)
 	for range shape.Ranks {
 		gate := switcher.NewGate()
 		gate.Update(b.now, switcher.RecordMsg{Record: switcher.Record{Fence: 1}})
 		b.gates = append(b.gates, gate)
 	}
-	b.tell(rebalancer.GroupMsg{Spec: spec})
 	b.tell(switcher.LeaseMsg{Fence: 1, Until: b.now.Add(24 * time.Hour)})
 	return b
 }
@@ -161,7 +154,11 @@
 }
 
 func spec() banyanplank.GroupSpec {
-	return banyanplank.GroupSpec{Name: "g", Ranks: 4, Layers: 2, Experts: 8, Slots: 3, Bytes: 100 << 20, Gain: 0.01}
+	return banyanplank.GroupSpec{
+		Name: "g", Ranks: 4, Layers: 2, Experts: 8, Slots: 3,
+		Bytes: 5 << 30, Weight: 50 << 20, Gain: 0.01,
+		Step: banyanplank.Duration(10 * time.Millisecond), Token: banyanplank.Duration(20 * time.Microsecond),
+	}
 }
 
 func TestGroupIsBalanced(t *testing.T) {
--- a/coordination/rebalancer/status.go
+++ b/coordination/rebalancer/status.go
@@ -68,7 +68,7 @@
 			Map:     r.plan.Map.ID,
 			Reason:  r.plan.Reason,
 			Loads:   r.plan.Loads,
-			Bytes:   int64(r.plan.Loads) * r.expert,
+			Bytes:   int64(r.plan.Loads) * r.spec.Weight,
 			Gain:    r.plan.Gain,
 			Cost:    r.plan.Cost,
 			Before:  r.plan.SkewBefore,
--- a/coordination/switcher/claim.go
+++ b/coordination/switcher/claim.go
@@ -64,6 +64,16 @@
 	return c.judgeRecord(now)
 }
 
+// takePanic ends a call to the store that failed in the middle. A write may
+// have taken effect.
+func (c *Coordinator) takePanic(msg banyanplank.PanicMsg) {
+	switch msg.Command.(type) {
+	case ReadRecordCmd, WriteRecordCmd:
+		c.storing = false
+		c.known = false
+	}
+}
+
 // firstRecord is the record of a group that no coordinator has claimed.
 func (c *Coordinator) firstRecord() Record {
 	return Record{
--- a/coordination/switcher/coordinator.go
+++ b/coordination/switcher/coordinator.go
@@ -176,6 +176,8 @@
 		commands = c.takeReply(msg)
 	case PlanMsg:
 		commands = c.takePlan(now, msg)
+	case banyanplank.PanicMsg:
+		c.takePanic(msg)
 	}
 	return c, append(commands, c.act(now)...)
 }
--- a/coordination/switcher/gate.go
+++ b/coordination/switcher/gate.go
@@ -84,6 +84,8 @@
 		g.learn(msg)
 	case EndpointMsg:
 		commands = g.takeAnswer(msg)
+	case banyanplank.PanicMsg:
+		commands = g.takePanic(msg)
 	}
 	return g, commands
 }
@@ -148,3 +150,14 @@
 	}
 	return []banyanplank.Command{AnswerCmd(msg)}
 }
+
+// takePanic ends what a failed command was to do.
+func (g *Gate) takePanic(msg banyanplank.PanicMsg) (commands []banyanplank.Command) {
+	switch c := msg.Command.(type) {
+	case PassCmd:
+		return g.takeAnswer(EndpointMsg{Call: c.Call, Err: msg.Err})
+	case ReadRecordCmd:
+		g.reading = false
+	}
+	return nil
+}
--- a/rankload.go
+++ b/rankload.go
@@ -40,6 +40,13 @@
 	Prepared MapID `json:"prepared,omitempty"`
 	// Armed is the prepared map that the rank offers at its barriers.
 	Armed MapID `json:"armed,omitempty"`
+	// Arrived, Busy and Late are as in [RankLoad].
+	Arrived uint64        `json:"arrived,omitempty"`
+	Busy    time.Duration `json:"busy,omitempty"`
+	Late    time.Duration `json:"late,omitempty"`
+	// Counts holds the tokens of each slot since the map came into use or the
+	// rank booted, by layer and slot.
+	Counts []uint64 `json:"counts,omitempty"`
 }
 
 // Popularity is the demand for each expert of a group.
