Run a group's coordinator and agents in the daemon

Cause: nothing assembled the rebalancer, the gates and the load reports in the daemon, and operators could not see a group.

Engines of the stand-in ranks count tokens.

Figures: go test ./coordination/rebalancer runs the loops of a coordinator, four agents and ranks for ten minutes on the paused clock: skew below 1.1, one map in each of 12000 steps, the record names the map in use.

Conclusion: the lease itself is still to be given to the daemon.

--- /dev/null
+++ b/coordination/rebalancer/executor_test.go
@@ -0,0 +1,196 @@
+package rebalancer_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/rebalancer"
+	"github.com/banyanplank/banyanplank/coordination/switcher"
+	"github.com/banyanplank/banyanplank/protocol/orderer"
+	"github.com/banyanplank/banyanplank/standin/platform"
+	"github.com/banyanplank/banyanplank/standin/ranks"
+)
+
+// stepTime is the time of one step of the stand-in ranks.
+const stepTime = 50 * time.Millisecond
+
+// fleet is a group of ranks with all its agents, coordinators and the store.
+type fleet struct {
+	store   *platform.Platform
+	engines *ranks.Engines
+	agents  []*switcher.Agent
+	mutex   sync.Mutex
+	uses    map[uint64]map[banyanplank.MapID]bool
+	maps    map[banyanplank.MapID]banyanplank.ExpertMap
+	demand  []float64
+}
+
+// Give implements [rebalancer.Peers] without a network.
+func (f *fleet) Give(ctx context.Context, request *orderer.GiveRequest) (reply *orderer.GiveReply, err error) {
+	return f.agents[request.Rank].Give(ctx, request)
+}
+
+// newFleet returns a fleet that does not run yet.
+func newFleet() *fleet {
+	initial, err := banyanplank.NewExpertMap("g", 1, shape)
+	if err != nil {
+		panic(err)
+	}
+	f := &fleet{
+		store:  platform.New(),
+		uses:   map[uint64]map[banyanplank.MapID]bool{},
+		maps:   map[banyanplank.MapID]banyanplank.ExpertMap{1: initial},
+		demand: []float64{9000, 1000, 1000, 1000, 1000, 1000, 1000, 1000},
+	}
+	group := ranks.NewGroup(shape.Ranks, initial.ID, ranks.WithRecord(f.use))
+	f.engines = ranks.NewEngines(group)
+	for rank := range shape.Ranks {
+		accept := func(banyanplank.Order) error { return nil }
+		f.agents = append(f.agents, switcher.NewAgent("g", f.store, f.engines.Endpoint(rank), accept))
+	}
+	return f
+}
+
+// use records which maps each step has used.
+func (f *fleet) use(u ranks.Use) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.uses[u.Step] == nil {
+		f.uses[u.Step] = map[banyanplank.MapID]bool{}
+	}
+	f.uses[u.Step][u.Map] = true
+}
+
+// mapOf returns the map with the id, which the record must hold.
+func (f *fleet) mapOf(id banyanplank.MapID) (m banyanplank.ExpertMap) {
+	if m, ok := f.maps[id]; ok {
+		return m
+	}
+	msg := switcher.ReadRecord(context.Background(), f.store, "g")
+	if m, ok := msg.Record.Map(id); ok {
+		f.maps[id] = m
+	}
+	return f.maps[id]
+}
+
+// step runs one step of all ranks.
+func (f *fleet) step() {
+	f.engines.Advance(func(id banyanplank.MapID, rank int) (done []uint64) {
+		m := f.mapOf(id)
+		for layer := range shape.Layers {
+			for slot := range shape.Slots {
+				done = append(done, uint64(f.share(m, layer, m.Places[m.Index(layer, rank, slot)])))
+			}
+		}
+		return done
+	})
+}
+
+// share returns the tokens of one step that a replica of an expert runs.
+func (f *fleet) share(m banyanplank.ExpertMap, layer int, expert uint16) float64 {
+	if expert == banyanplank.NoExpert {
+		return 0
+	}
+	homes := 0.0
+	for rank := range shape.Ranks {
+		if m.Holds(layer, rank, expert) {
+			homes++
+		}
+	}
+	return f.demand[expert] * stepTime.Seconds() / homes
+}
+
+// report sends what each rank has done since the last report.
+func (f *fleet) report(ctx context.Context, loop *banyanplank.Loop, sequence uint64, last [][]uint64) {
+	for rank := range shape.Ranks {
+		report, err := f.engines.Endpoint(rank).Report(ctx)
+		if err != nil {
+			continue
+		}
+		load := banyanplank.RankLoad{
+			Group: "g", Rank: rank, Incarnation: 1, Sequence: sequence,
+			Map: report.Rank.Map, Span: time.Minute, Arrived: report.Rank.Arrived,
+		}
+		for i, count := range report.Rank.Counts {
+			if len(last[rank]) == len(report.Rank.Counts) && last[rank][i] <= count {
+				count -= last[rank][i]
+			}
+			load.Tokens = append(load.Tokens, uint32(count))
+		}
+		last[rank] = report.Rank.Counts
+		received, err := orderer.ToLoad(orderer.FromLoad(load))
+		if err == nil {
+			loop.Send(ctx, rebalancer.LoadMsg{Load: received})
+		}
+	}
+}
+
+// TestLoopsBalanceAGroup runs coordinator, agents and ranks in their own
+// goroutines on the paused clock, over the store and the messages.
+func TestLoopsBalanceAGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet()
+		coordinator, err := switcher.NewCoordinator(f.maps[1])
+		is.NoErr(err)
+		var latest rebalancer.Status
+		var mutex sync.Mutex
+		executor := rebalancer.Executor{Group: "g", Store: f.store, Peers: f, Log: func(banyanplank.Command) {}}
+		loop := banyanplank.NewLoop(rebalancer.New(spec(), f.maps[1], coordinator), executor,
+			banyanplank.WithTick(250*time.Millisecond),
+			banyanplank.WithAfter(func(model banyanplank.Model) {
+				mutex.Lock()
+				defer mutex.Unlock()
+				latest = model.(*rebalancer.Rebalancer).Status(time.Now())
+			}))
+		ctx, cancel := context.WithCancel(t.Context())
+		group := pool.New().WithContext(ctx)
+		group.Go(loop.Run)
+		for _, agent := range f.agents {
+			group.Go(agent.Run)
+		}
+		loop.Send(ctx, switcher.LeaseMsg{Fence: 1, Until: time.Now().Add(time.Hour)})
+		last := make([][]uint64, shape.Ranks)
+		for n := range uint64(10 * time.Minute / stepTime) {
+			time.Sleep(stepTime)
+			f.step()
+			if n%uint64(time.Minute/stepTime) == 0 {
+				f.report(ctx, loop, n+1, last)
+			}
+		}
+		synctest.Wait()
+		mutex.Lock()
+		status := latest
+		mutex.Unlock()
+		cancel()
+		is.NoErr(group.Wait())
+		checkFleet(is, f, status)
+	})
+}
+
+// checkFleet checks that the group is balanced on one map that is on record.
+func checkFleet(is *is.I, f *fleet, status rebalancer.Status) {
+	is.Helper()
+	is.Equal(status.Problem, "")
+	is.True(status.Map > 1)
+	heaviest := 0.0
+	for _, load := range status.Loads {
+		heaviest = max(heaviest, load)
+	}
+	is.True(heaviest < 1.1)
+	is.Equal(len(f.uses), int(10*time.Minute/stepTime))
+	for _, maps := range f.uses {
+		is.Equal(len(maps), 1)
+	}
+	msg := switcher.ReadRecord(context.Background(), f.store, "g")
+	is.NoErr(msg.Err)
+	is.Equal(msg.Record.Current, status.Map)
+	is.Equal(msg.Record.Fence, uint64(1))
+}
--- a/coordination/rebalancer/status.go
+++ b/coordination/rebalancer/status.go
@@ -33,6 +33,10 @@
 	After  []float64 `json:"after"`
 }
 
+// IsCoordinator reports whether the status comes from the coordinator that
+// holds the group's lease.
+func (s Status) IsCoordinator() bool { return s.Phase != switcher.Standby }
+
 // PlanStatus is a plan with its price.
 type PlanStatus struct {
 	Map    banyanplank.MapID `json:"map"`
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -54,6 +54,7 @@
 		metrics.WritePrometheus(w, true)
 	})
 	router.GET("/v1/status", d.serveStatus)
+	d.groupRoutes(router)
 	return router
 }
 
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc/pool"
+
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/runner"
 	"github.com/banyanplank/banyanplank/transport/invoker"
@@ -24,6 +26,8 @@
 	endpoint banyanplank.Endpoint
 	admitter banyanplank.Admitter
 	runner   *runner.Runner
+	// experts is nil for an endpoint that works alone.
+	experts *experts
 	// following counts the entries that follow an answer.
 	following atomic.Int64
 	known     atomic.Bool
@@ -33,6 +37,9 @@
 	guard := newGuard(d.settings, d.member, invoker.New(d.settings.Endpoint.Address))
 	a = &agent{daemon: d, endpoint: guard.Endpoint(), admitter: guard}
 	a.runner = newRunner(d, a.endpoint, a.admitter)
+	if a.experts, err = newExperts(d, a.endpoint, d.lease); err != nil {
+		return nil, err
+	}
 	return a, d.listener.HandleCalls(a)
 }
 
@@ -51,8 +58,19 @@
 // Load implements [listener.Runner].
 func (a *agent) Load() (report banyanplank.LoadReport) { return a.admitter.Load() }
 
-// serve observes the endpoint until ctx ends.
+// serve observes the endpoint, and takes part in its group of ranks, until ctx
+// ends.
 func (a *agent) serve(ctx context.Context) (err error) {
+	group := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
+	group.Go(a.watch)
+	if a.experts != nil {
+		group.Go(a.experts.serve)
+	}
+	return group.Wait()
+}
+
+// watch observes the endpoint until ctx ends.
+func (a *agent) watch(ctx context.Context) (err error) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	a.observe(ctx)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -34,6 +34,7 @@
 	dialer   *dialer.Dialer
 	listener *listener.Listener
 	role     role
+	lease    GroupLease
 	known    atomic.Pointer[registry]
 }
 
@@ -66,6 +67,12 @@
 	return func(d *Daemon) { d.list = list }
 }
 
+// WithGroupLease uses lease as the lease of the agent's group of ranks. Use it
+// in tests. Without a lease the agent takes orders but never coordinates.
+func WithGroupLease(lease GroupLease) Option {
+	return func(d *Daemon) { d.lease = lease }
+}
+
 // WithLog writes the log to out. The default drops it.
 func WithLog(out io.Writer) Option {
 	return func(d *Daemon) { d.logger = NewLogger(out) }
--- a/protocol/orderer/maps.go
+++ b/protocol/orderer/maps.go
@@ -72,6 +72,26 @@
 	return base.Apply(banyanplank.MapID(message.Map), moves)
 }
 
+// CheckChange reports why a change can't be for the map of the group and shape.
+func CheckChange(message *Change, id banyanplank.MapID, group banyanplank.GroupName, shape banyanplank.MapShape) (err error) {
+	defer func() { err = errors.Wrapf(err, "change to map %d of group %q", message.GetMap(), message.GetGroup()) }()
+	if banyanplank.GroupName(message.GetGroup()) != group {
+		return errors.Newf("want group %q", group)
+	}
+	if banyanplank.MapID(message.GetMap()) != id {
+		return errors.Newf("the order is for map %d", id)
+	}
+	got, err := toShape(message.GetShape())
+	if err != nil {
+		return err
+	}
+	if got != shape {
+		return errors.Newf("shape %+v, want %+v", got, shape)
+	}
+	_, err = toMoves(message, shape)
+	return err
+}
+
 // toMoves returns the moves of a change.
 func toMoves(message *Change, shape banyanplank.MapShape) (moves []banyanplank.SlotMove, err error) {
 	if len(message.Gaps) != len(message.Experts) {
--- /dev/null
+++ b/standin/ranks/engines.go
@@ -0,0 +1,92 @@
+package ranks
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// Engines are the engines of a group of ranks, safe for concurrent use. They
+// count tokens under the map in use.
+type Engines struct {
+	mutex  sync.Mutex
+	group  *Group
+	counts [][]uint64
+	maps   []banyanplank.MapID
+}
+
+// NewEngines returns the engines of a group.
+func NewEngines(group *Group) *Engines {
+	return &Engines{
+		group:  group,
+		counts: make([][]uint64, len(group.ranks)),
+		maps:   make([]banyanplank.MapID, len(group.ranks)),
+	}
+}
+
+// Advance runs one step, see [Group.Advance]. Tokens returns what a rank runs
+// in it under a map, by layer and slot.
+func (e *Engines) Advance(tokens func(id banyanplank.MapID, rank int) []uint64) (ok bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !e.group.Advance() {
+		return false
+	}
+	for rank := range e.counts {
+		id := e.group.ranks[rank].status.Map
+		done := tokens(id, rank)
+		if e.maps[rank] != id || len(e.counts[rank]) != len(done) {
+			e.maps[rank], e.counts[rank] = id, make([]uint64, len(done))
+		}
+		for i, n := range done {
+			e.counts[rank][i] += n
+		}
+	}
+	return true
+}
+
+// Endpoint returns the engine of one rank. It takes orders and tells its
+// status, and runs no requests.
+func (e *Engines) Endpoint(rank int) banyanplank.Endpoint {
+	return &engine{engines: e, rank: rank}
+}
+
+// engine is one rank's engine.
+type engine struct {
+	engines *Engines
+	rank    int
+}
+
+// errNoRequests is the answer to all requests.
+var errNoRequests = errors.New("the stand-in for ranks runs no requests")
+
+// Run implements [banyanplank.Endpoint].
+func (e *engine) Run(context.Context, *banyanplank.Request) (answer banyanplank.Answer, err error) {
+	return nil, errNoRequests
+}
+
+// Cancel implements [banyanplank.Endpoint].
+func (e *engine) Cancel(context.Context, banyanplank.AttemptID) (err error) { return errNoRequests }
+
+// Report implements [banyanplank.Endpoint].
+func (e *engine) Report(context.Context) (report banyanplank.EndpointReport, err error) {
+	e.engines.mutex.Lock()
+	defer e.engines.mutex.Unlock()
+	status, up := e.engines.group.Status(e.rank)
+	if !up {
+		return report, errors.Newf("rank %d is down", e.rank)
+	}
+	status.Arrived = status.Step
+	status.Counts = append([]uint64(nil), e.engines.counts[e.rank]...)
+	return banyanplank.EndpointReport{Boot: status.Boot, Rank: &status}, nil
+}
+
+// Order implements [banyanplank.Endpoint].
+func (e *engine) Order(_ context.Context, order banyanplank.Order) (err error) {
+	e.engines.mutex.Lock()
+	defer e.engines.mutex.Unlock()
+	return e.engines.group.Order(e.rank, order)
+}
