--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -39,6 +39,7 @@
 	role     role
 	spreader *spreader.Spreader
 	work     conc.WaitGroup
+	lease    GroupLease
 }
 
 // role is what an entry and an agent do differently.
@@ -70,6 +71,12 @@
 	return func(d *Daemon) { d.list = list }
 }
 
+// WithGroupLease uses lease as the lease of the agent's group of ranks. Use it
+// in tests. Without a lease the agent takes orders but never coordinates.
+func WithGroupLease(lease GroupLease) Option {
+	return func(d *Daemon) { d.lease = lease }
+}
+
 // WithLog writes the log to out. The default drops it.
 func WithLog(out io.Writer) Option {
 	return func(d *Daemon) { d.logger = NewLogger(out) }
