--- a/coordination/spreader/exchange.go
+++ b/coordination/spreader/exchange.go
@@ -19,6 +19,9 @@
 	// hotTicks is the number of ticks in which all neighbors hear of a new
 	// revision.
 	hotTicks = 3
+	// urgentTicks is the number of ticks in which all neighbors hear that a
+	// member leaves, the one at once included.
+	urgentTicks = 2
 	// rejoinTicks is the number of ticks between two tries to reach a seed or
 	// a gone member.
 	rejoinTicks = 30
@@ -26,7 +29,7 @@
 
 // digest returns what the daemon tells a peer.
 func (m *Model) digest(differs bool) (d Digest) {
-	d = Digest{From: m.self, Revision: m.revision(), Age: NoAge, Updates: m.table.takeNews(), Sum: m.table.sum()}
+	d = Digest{From: m.self, Revision: m.revision(), Age: NoAge, Updates: m.table.takeNews(), Sum: m.table.sum(), Reach: m.reach.value}
 	if !m.proof.IsZero() {
 		d.Age = m.now.Sub(m.proof)
 	}
@@ -39,12 +42,13 @@
 // exchanges begins the exchanges of this tick: with one neighbor in turn, with
 // neighbors that failed to answer, and with all while news is hot.
 func (m *Model) exchanges() (commands []banyanplank.Command) {
-	neighbors := m.table.next()
-	for i, r := range neighbors {
-		turn := m.ticks%len(neighbors) == i
-		if r.inFlight || !turn && r.failures == 0 && m.hot == 0 {
+	partners := m.partners()
+	turn := m.turn(partners)
+	for _, r := range partners {
+		if r.inFlight || r != turn && r.failures == 0 && m.hot == 0 && m.urgent == 0 {
 			continue
 		}
+		r.asked = m.now
 		r.inFlight = true
 		d := m.digest(r.differs)
 		if m.hot > 0 {
@@ -53,14 +57,26 @@
 		commands = append(commands, ExchangeCmd{ID: r.record.Member.ID, To: r.record.Member.Peer, Digest: d})
 	}
 	m.hot = max(0, m.hot-1)
+	m.urgent = max(0, m.urgent-1)
 	return commands
 }
 
+// turn returns the partner whose turn it is: of those that answer, the one that
+// was asked least recently.
+func (m *Model) turn(partners []*row) (turn *row) {
+	for _, r := range partners {
+		if r.failures == 0 && (turn == nil || r.asked.Before(turn.asked)) {
+			turn = r
+		}
+	}
+	return turn
+}
+
 // bootstrap looks for peers while there are none, and now and then for those
 // that were lost, such as the members of a region that was cut off.
 func (m *Model) bootstrap() (commands []banyanplank.Command) {
 	turn := (uint64(m.ticks)+m.table.rows[m.self.Member.ID].places[0])%rejoinTicks == 0
-	if !turn && m.joined && !m.isAlone() {
+	if !turn && m.joined && m.table.up > 1 {
 		return nil
 	}
 	lost := m.lostAddresses()
@@ -132,6 +148,7 @@
 	commands = m.hear(msg.Digest)
 	if r != nil {
 		r.failures = 0
+		r.answered = later(r.answered, msg.Sent)
 		r.differs = msg.Digest.Sum != m.table.sum()
 	}
 	if msg.Digest.Age != NoAge {
@@ -186,6 +203,7 @@
 // hear takes in the sender, its news and its revision.
 func (m *Model) hear(d Digest) (commands []banyanplank.Command) {
 	m.learn(d.From)
+	m.reach.hear(d.Reach)
 	for _, record := range d.Updates {
 		m.learn(record)
 	}
@@ -195,8 +213,12 @@
 
 // put takes in a record of another member and passes it on if it is news.
 func (m *Model) put(record Record) {
-	if m.table.put(record, m.now) {
-		m.table.announce(record.Member.ID)
+	if !m.table.put(record, m.now) {
+		return
+	}
+	m.table.announce(record.Member.ID)
+	if record.Member.State == banyanplank.MemberLeaving {
+		m.urgent = urgentTicks
 	}
 }
 
@@ -228,8 +250,12 @@
 		m.fetch.proven, m.fetch.proof = revision, at
 		return
 	}
-	if revision == m.revision() {
-		m.proof = later(m.proof, at)
+	if revision < m.revision() || !at.After(m.proof) {
+		return
+	}
+	m.proof = at
+	if m.now.Sub(at) <= FreshFor/2 {
+		m.resample()
 	}
 }
 
--- a/coordination/spreader/fleet_test.go
+++ b/coordination/spreader/fleet_test.go
@@ -287,7 +287,7 @@
 			done(d, err)
 		}
 	}
-	f.after(time.Second, func() { finish(spreader.Digest{}, errLost) })
+	f.after(900*time.Millisecond, func() { finish(spreader.Digest{}, errLost) })
 	f.count(from, to, gossiper.EncodeDigest(c.Digest))
 	copies := 1
 	if f.random.Float64() < f.double {
--- a/coordination/spreader/message.go
+++ b/coordination/spreader/message.go
@@ -20,6 +20,9 @@
 	// Age is the time since the sender's newest proof that its revision was
 	// the accepted one, or [NoAge].
 	Age time.Duration
+	// Reach is the share of neighbors that answer, averaged over the sender
+	// and those around it.
+	Reach float32
 	// Root is the encoded root of the revision when the receiver is likely to
 	// lack it.
 	Root []byte
--- a/coordination/spreader/model.go
+++ b/coordination/spreader/model.go
@@ -39,10 +39,11 @@
 	contact time.Time
 	// proof is when the revision was last known to be the accepted one.
 	proof time.Time
-	// baseline is the number of live members at the last proof.
-	baseline int
+	reach reach
 	// hot counts the ticks in which all neighbors hear of a new revision.
-	hot      int
+	hot int
+	// urgent counts the ticks in which all neighbors hear the news of members.
+	urgent   int
 	snapshot *Snapshot
 }
 
@@ -99,7 +100,10 @@
 	case SeedsMsg:
 		m.addSeeds(msg.Addresses)
 	case LeaveMsg:
-		commands = m.leave()
+		m.leave()
+	}
+	if m.urgent == urgentTicks {
+		commands = append(commands, m.exchanges()...)
 	}
 	m.refresh()
 	return m, commands
@@ -118,17 +122,19 @@
 		return nil
 	}
 	m.expire()
+	if len(m.reach.sample) == 0 {
+		m.resample()
+	}
+	m.reach.measure(m.now)
 	commands = append(commands, m.exchanges()...)
 	commands = append(commands, m.bootstrap()...)
 	commands = append(commands, m.refetch()...)
 	return append(commands, m.storeCommands()...)
 }
 
-// leave tells all neighbors at once.
-func (m *Model) leave() (commands []banyanplank.Command) {
+// leave changes the daemon's own state, which is urgent news.
+func (m *Model) leave() {
 	m.amend(banyanplank.MemberLeaving)
-	m.hot = hotTicks
-	return m.exchanges()
 }
 
 // amend changes what the daemon says of itself.
@@ -140,11 +146,7 @@
 
 // refresh derives what depends on several parts of the state, and publishes.
 func (m *Model) refresh() {
-	live := m.table.live
-	if m.isFresh() {
-		m.baseline = live
-	}
-	m.baseline = max(m.baseline, live)
+	m.reach.members = max(m.reach.members, m.table.up)
 	m.latchReady()
 	m.publish()
 }
@@ -154,9 +156,6 @@
 	return !m.proof.IsZero() && m.now.Sub(m.proof) <= FreshFor
 }
 
-// isAlone reports whether no other member is up.
-func (m *Model) isAlone() (alone bool) { return m.table.up <= 1 }
-
 // startGrace is how long a starting daemon waits for peers while the object
 // API answers.
 const startGrace = 5 * time.Second
@@ -176,7 +175,7 @@
 	s := &Snapshot{
 		Self: m.self.Member, Configuration: m.held.configuration,
 		started: m.ready, replaced: m.replaced,
-		alone: m.baseline <= 1, majority: 2*m.table.live > m.baseline,
+		alone: m.isAlone(), majority: m.hasMajority(),
 		proof: m.proof, contact: m.contact, behind: m.fetch.since,
 		rootValue: m.held.rootValue, values: m.held.values, log: m.held.log,
 	}
--- /dev/null
+++ b/coordination/spreader/reach.go
@@ -0,0 +1,93 @@
+package spreader
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// answerFor is how long an answer shows that a neighbor is in reach. It
+	// leaves time for a turn of all neighbors and a repeated question.
+	answerFor = 6 * time.Second
+	// reachLow and reachHigh are the estimated shares of the members in reach at
+	// which a daemon ceases and begins to take itself to be among most of them.
+	// They are above a half because the share is an estimate, and apart so that
+	// its noise does not switch the daemon on and off.
+	reachLow  = 0.55
+	reachHigh = 0.65
+	// ownWeight is the weight of a daemon's own neighbors in its estimate.
+	ownWeight = 0.35
+)
+
+// reach estimates the share of the members that can be talked to from here. The
+// neighbors that a daemon had at the last proof are a random sample. It keeps
+// asking them, also when they are gone, since their successors would not be a
+// random choice. The estimates of the daemons around are averaged in, which
+// makes a small sample a larger one.
+type reach struct {
+	sample []*row
+	// members counts those that were there at the last proof, and those that
+	// joined since.
+	members int
+	value   float32
+	most    bool
+	sum     float32
+	count   int
+}
+
+// hear takes in a peer's estimate if it is a share.
+func (r *reach) hear(value float32) {
+	if value >= 0 && value <= 1 {
+		r.sum += value
+		r.count++
+	}
+}
+
+// measure makes a new estimate from the sample and from what was heard since the
+// last one. A member that left as planned is no part of the sample any more.
+func (r *reach) measure(now time.Time) {
+	r.sample = slices.DeleteFunc(r.sample, func(n *row) bool { return n.left })
+	own := float32(0)
+	for _, n := range r.sample {
+		if !n.answered.IsZero() && now.Sub(n.answered) <= answerFor {
+			own++
+		}
+	}
+	own /= float32(max(1, len(r.sample)))
+	around := r.value
+	if r.count > 0 {
+		around = r.sum / float32(r.count)
+	}
+	r.value = ownWeight*own + (1-ownWeight)*around
+	r.most = r.value > reachHigh || r.most && r.value > reachLow
+	r.sum, r.count = 0, 0
+}
+
+// hasMajority reports whether the daemon can talk to most of the members that
+// were there at the last proof: the estimate tells it within seconds, and the
+// count exactly once those out of reach are gone.
+func (m *Model) hasMajority() (has bool) {
+	return m.isAlone() || m.reach.most && 2*m.table.up > m.reach.members
+}
+
+// isAlone reports whether there is no other member, nor was at the last proof.
+func (m *Model) isAlone() (alone bool) {
+	return m.table.up <= 1 && len(m.reach.sample) == 0
+}
+
+// resample makes the neighbors of now the sample.
+func (m *Model) resample() {
+	m.reach.sample = slices.Clone(m.table.next())
+	m.reach.members = m.table.up
+}
+
+// partners returns the members to exchange with: the neighbors and the sample.
+func (m *Model) partners() (partners []*row) {
+	partners = slices.Clone(m.table.next())
+	for _, n := range m.reach.sample {
+		if !slices.Contains(partners, n) && !n.left {
+			partners = append(partners, n)
+		}
+	}
+	return partners
+}
--- a/coordination/spreader/spread_test.go
+++ b/coordination/spreader/spread_test.go
@@ -29,11 +29,11 @@
 			f := newFleet(1, test.entries, test.agents, test.zones)
 			f.accept(zoned(test.zones))
 			f.startAll()
-			f.advance(20 * time.Second)
+			f.advance(12 * time.Second)
 			is.Equal(f.inForce(), len(f.daemons))
 			is.Equal(f.serving(), len(f.daemons))
 			f.loss = test.loss
-			f.advance(5 * time.Second)
+			f.advance(3 * time.Second)
 			f.accept(zoned(test.zones, 0))
 			took := f.untilInForce(test.limit)
 			t.Logf("in force at %d of %d daemons after %s", f.inForce(), len(f.daemons), took)
--- a/coordination/spreader/spreader.go
+++ b/coordination/spreader/spreader.go
@@ -115,7 +115,7 @@
 
 // Timeouts of the effects.
 const (
-	exchangeTimeout = time.Second
+	exchangeTimeout = 900 * time.Millisecond
 	fetchTimeout    = 3 * time.Second
 	watchTimeout    = time.Minute
 	readTimeout     = 2 * time.Second
--- a/coordination/spreader/table.go
+++ b/coordination/spreader/table.go
@@ -37,6 +37,12 @@
 	sends int
 	// failures counts the exchanges that failed in a row.
 	failures int
+	// answered is when the member last answered: the time of the question.
+	answered time.Time
+	// left tells that the member announced that it leaves.
+	left bool
+	// asked is when the last exchange with the member began.
+	asked time.Time
 	// inFlight tells that an exchange has not ended.
 	inFlight bool
 	// differs tells that the sums differed in the last exchange.
@@ -49,9 +55,6 @@
 // isUp reports whether the member may be talked to.
 func (r *row) isUp() (up bool) { return r.record.Member.State != banyanplank.MemberGone }
 
-// isLive reports whether the member is live.
-func (r *row) isLive() (live bool) { return r.record.Member.State == banyanplank.MemberLive }
-
 // step returns the change of a count.
 func step(up bool) (change int) {
 	if up {
@@ -71,9 +74,8 @@
 	sums  [buckets]uint64
 	// neighbors is nil after a change that may move them.
 	neighbors []*row
-	// up and live count members, the daemon itself included.
+	// up counts the members that are not gone, the daemon itself included.
 	up    int
-	live  int
 	dirty bool
 }
 
@@ -102,22 +104,20 @@
 		t.rows[record.Member.ID] = r
 		t.order = nil
 	}
-	wasUp, wasLive := known && r.isUp(), known && r.isLive()
+	wasUp := known && r.isUp()
 	if known {
 		t.sums[r.bucket()] ^= r.record.sum()
 	}
 	if !known || r.record.Member.Incarnation != record.Member.Incarnation {
 		r.failures = 0
 	}
+	r.left = record.Member.State == banyanplank.MemberLeaving || r.left && record.Member.State == banyanplank.MemberGone
 	r.record, r.since = record, now
 	t.sums[r.bucket()] ^= record.sum()
 	if wasUp != r.isUp() {
 		t.neighbors = nil
 		t.up += step(r.isUp())
 	}
-	if wasLive != r.isLive() {
-		t.live += step(r.isLive())
-	}
 	t.dirty = true
 	return true
 }
--- a/protocol/gossiper/convert.go
+++ b/protocol/gossiper/convert.go
@@ -16,7 +16,7 @@
 
 // EncodeDigest returns the digest as a message.
 func EncodeDigest(d spreader.Digest) (message *Digest) {
-	message = &Digest{From: encodeRecord(d.From), Revision: uint64(d.Revision), Sum: d.Sum, Buckets: d.Buckets, Root: d.Root}
+	message = &Digest{From: encodeRecord(d.From), Revision: uint64(d.Revision), Sum: d.Sum, Buckets: d.Buckets, Root: d.Root, Reach: d.Reach}
 	if d.Age != spreader.NoAge {
 		age := uint64((d.Age + time.Millisecond - 1) / time.Millisecond)
 		message.Age = &age
@@ -34,7 +34,7 @@
 	}
 	d = spreader.Digest{
 		From: from, Revision: banyanplank.Revision(message.GetRevision()), Age: spreader.NoAge,
-		Updates: decodeRecords(message.GetUpdates()), Sum: message.GetSum(), Buckets: message.GetBuckets(), Root: message.GetRoot(),
+		Updates: decodeRecords(message.GetUpdates()), Sum: message.GetSum(), Buckets: message.GetBuckets(), Root: message.GetRoot(), Reach: message.GetReach(),
 	}
 	if message.Age != nil {
 		d.Age = max(0, time.Duration(min(message.GetAge(), maxAge))*time.Millisecond)
