--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -30,8 +30,9 @@
 }
 
 func newAgent(d *Daemon) (a *agent, err error) {
-	guard := newGuard(d.settings, d.member, invoker.New(d.settings.Endpoint.Address))
-	a = &agent{daemon: d, endpoint: guard.Endpoint(), admitter: gate{Admitter: guard, serves: d.serves}}
+	guard, endpoint := newGuard(d.settings, d.member, invoker.New(d.settings.Endpoint.Address))
+	admits := newMeasured(guard, d.settings.Name, d.logger)
+	a = &agent{daemon: d, endpoint: endpoint, admitter: gate{Admitter: admits, serves: d.serves}}
 	a.runner = newRunner(d, a.endpoint, a.admitter)
 	return a, d.listener.HandleCalls(a)
 }
