Let agents of a group hold its lease in the object API

Cause: the coordinator of a group had no lease in a running daemon, so agents took orders but none ever coordinated.

Change: the agent takes the group's lease through coordination/leaser, by default and not only in tests.

Conclusion: lease, switch and planner are joined in the daemon.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -72,7 +72,7 @@
 }
 
 // WithGroupLease uses lease as the lease of the agent's group of ranks. Use it
-// in tests. Without a lease the agent takes orders but never coordinates.
+// in tests. The default is a lease in the object API.
 func WithGroupLease(lease GroupLease) Option {
 	return func(d *Daemon) { d.lease = lease }
 }
@@ -135,6 +135,9 @@
 		return d.assembleSpreader()
 	}
 	d.dialer = dialer.New(dialer.WithTLS(config))
+	if d.lease == nil && d.member.Group != "" {
+		d.lease = newGroupLease(d.store, d.member)
+	}
 	if d.role, err = newAgent(d); err != nil {
 		return err
 	}
