Let closed agents use up no retries

Cause: while entries learn of a zone taken out, an account with one retry saved up could be refused after two closed agents, although others were free. Such refusals cost no endpoint anything.

Change: refusals of closed agents and agents that were not reached use no budget; a request makes up to eight such attempts.

Conclusion: the budget bounds what multiplies load.

--- a/coordination/forwarder/flow.go
+++ b/coordination/forwarder/flow.go
@@ -259,7 +259,7 @@
 	case arbiter.ActionElsewhere:
 		l.drop()
 		l.countOut(refusal)
-		if !l.allowed() {
+		if !l.allowed(refusal) {
 			return l.final(refusal)
 		}
 		l.query.Avoid = append(l.query.Avoid, l.member.ID)
@@ -278,11 +278,13 @@
 	}
 }
 
-// allowed asks for one more attempt and waits as long as it must.
-func (l *flow) allowed() (ok bool) {
+// allowed asks for one more attempt after a refusal and waits as long as it
+// must.
+func (l *flow) allowed(refusal *banyanplank.Refusal) (ok bool) {
 	delay, ok := l.forwarder.retrier.Allow(time.Now(), retrier.Attempt{
 		Account:  l.request.Account,
 		Number:   l.attempts,
+		Free:     retrier.IsFree(refusal),
 		Deadline: l.request.Deadline,
 	})
 	if !ok {
--- a/coordination/retrier/retrier.go
+++ b/coordination/retrier/retrier.go
@@ -35,6 +35,8 @@
 	mostBudgets = 4096
 	// defaultAttempts bounds the attempts of one request, the first included.
 	defaultAttempts = 3
+	// freeAttempts bounds the attempts of a request while they are free.
+	freeAttempts = 8
 	// firstDelay bounds the random delay before the second retry. The first
 	// goes to another endpoint without one.
 	firstDelay = 20 * time.Millisecond
@@ -49,6 +51,9 @@
 	Number int
 	// Once tells that the request must not be repeated.
 	Once bool
+	// Free tells that the attempt cost no endpoint anything: the agent was not
+	// reached, or takes no new work.
+	Free bool
 	// Begun tells that the caller has some of the answer.
 	Begun bool
 	// Deadline is when the caller gives up. Zero means never.
@@ -136,13 +141,19 @@
 	if !mayRepeat(attempt, err) {
 		return 0, false
 	}
+	var refusal *banyanplank.Refusal
+	attempt.Free = errors.As(err, &refusal) && IsFree(refusal)
 	return r.Allow(now, attempt)
 }
 
 // Allow is [Retrier.Next] for a caller that has decided that the request may
 // be repeated.
 func (r *Retrier) Allow(now time.Time, attempt Attempt) (delay time.Duration, ok bool) {
-	if attempt.Number >= r.attempts {
+	most := r.attempts
+	if attempt.Free {
+		most = max(most, freeAttempts)
+	}
+	if attempt.Number >= most {
 		return 0, false
 	}
 	r.mu.Lock()
@@ -151,6 +162,9 @@
 	if !attempt.Deadline.IsZero() && !now.Add(delay).Before(attempt.Deadline) {
 		return 0, false
 	}
+	if attempt.Free {
+		return delay, true
+	}
 	budget := r.budget(attempt.Account)
 	if budget < 1 {
 		return 0, false
@@ -197,6 +211,21 @@
 	}
 }
 
+// IsFree reports whether a refusal cost no endpoint anything. Such attempts are
+// not taken from the budget, which is there to keep failures from multiplying
+// load.
+func IsFree(refusal *banyanplank.Refusal) bool {
+	if refusal.Outcome != banyanplank.NotRun {
+		return false
+	}
+	switch refusal.Reason {
+	case banyanplank.ReasonZoneOut, banyanplank.ReasonLeaving, banyanplank.ReasonUnreachable, banyanplank.ReasonStale:
+		return true
+	default:
+		return false
+	}
+}
+
 // isLost reports whether the reason is the loss of the agent or the endpoint.
 func isLost(reason banyanplank.Reason) bool {
 	return reason == banyanplank.ReasonUnreachable || reason == banyanplank.ReasonEndpoint
--- a/coordination/suspecter/guard.go
+++ b/coordination/suspecter/guard.go
@@ -101,8 +101,8 @@
 	for _, finding := range request.Findings {
 		g.Learn(finding)
 	}
-	print := request.Fingerprint()
-	verdict, retry := g.judge(print)
+	fingerprint := request.Fingerprint()
+	verdict, retry := g.judge(fingerprint)
 	for {
 		if verdict == VerdictRefused {
 			return nil, refused(retry)
@@ -112,8 +112,8 @@
 			return nil, err
 		}
 		admitted := verdict
-		if verdict, retry = g.judge(print); verdict <= admitted {
-			return g.start(grant, request.Attempt, print), nil
+		if verdict, retry = g.judge(fingerprint); verdict <= admitted {
+			return g.start(grant, request.Attempt, fingerprint), nil
 		}
 		grant.Release(true)
 	}
@@ -128,11 +128,11 @@
 }
 
 // judge returns the verdict on a request and how long it stays.
-func (g *Guard) judge(print banyanplank.Fingerprint) (verdict Verdict, retry time.Duration) {
+func (g *Guard) judge(fingerprint banyanplank.Fingerprint) (verdict Verdict, retry time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	return g.suspects.Judge(now, print), g.suspects.Retry(now, print)
+	return g.suspects.Judge(now, fingerprint), g.suspects.Retry(now, fingerprint)
 }
 
 func refused(retry time.Duration) error {
@@ -145,10 +145,10 @@
 }
 
 // start counts in a request that runs from now on.
-func (g *Guard) start(grant banyanplank.Grant, attempt banyanplank.AttemptID, print banyanplank.Fingerprint) *guarded {
+func (g *Guard) start(grant banyanplank.Grant, attempt banyanplank.AttemptID, fingerprint banyanplank.Fingerprint) *guarded {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := &guarded{Grant: grant, guard: g, attempt: attempt, print: print}
+	r := &guarded{Grant: grant, guard: g, attempt: attempt, fingerprint: fingerprint}
 	g.running = slices.Insert(g.running, 0, r)
 	return r
 }
@@ -162,12 +162,12 @@
 // guarded is the grant of a request that the guard watches.
 type guarded struct {
 	banyanplank.Grant
-	guard    *Guard
-	attempt  banyanplank.AttemptID
-	print    banyanplank.Fingerprint
-	began    bool
-	failed   bool
-	released bool
+	guard       *Guard
+	attempt     banyanplank.AttemptID
+	fingerprint banyanplank.Fingerprint
+	began       bool
+	failed      bool
+	released    bool
 }
 
 // Progress implements [banyanplank.Grant]. It does nothing, because the guard
@@ -210,8 +210,8 @@
 	g.running = slices.DeleteFunc(g.running, func(other *guarded) bool { return other == r })
 	now := time.Now()
 	endedWell := healthy && r.began && !r.failed
-	if endedWell && g.suspects.Judge(now, r.print) == VerdictAlone {
-		g.tell(now, banyanplank.Finding{Kind: banyanplank.FindingCleared, Requests: []banyanplank.Fingerprint{r.print}})
+	if endedWell && g.suspects.Judge(now, r.fingerprint) == VerdictAlone {
+		g.tell(now, banyanplank.Finding{Kind: banyanplank.FindingCleared, Requests: []banyanplank.Fingerprint{r.fingerprint}})
 	}
 	return r.failed
 }
@@ -260,7 +260,7 @@
 	death := banyanplank.Finding{Kind: banyanplank.FindingDeath, Death: banyanplank.NewDeathID(g.daemon, g.boot)}
 	for _, r := range g.running {
 		if r.began {
-			death.Requests = append(death.Requests, r.print)
+			death.Requests = append(death.Requests, r.fingerprint)
 		}
 	}
 	g.doubt, g.denied = &death, false
--- a/daemon/delivery.go
+++ b/daemon/delivery.go
@@ -19,6 +19,9 @@
 	// accountShare is the part of an agent's budget for held answers that one
 	// client account may use.
 	accountShare = 4
+	// attempts bounds the attempts and connections of one request. It leaves
+	// room for several agents of a zone that has just been taken out.
+	attempts = 8
 	// sweepInterval is the time between two shards of claims that an entry
 	// looks through for expired ones.
 	sweepInterval = time.Minute
@@ -30,6 +33,7 @@
 func newForwarder(d *Daemon, picker banyanplank.Picker, relay *suspecter.Relay) *forwarder.Forwarder {
 	return forwarder.New(picker, relaying{Opener: d.dialer, relay: relay},
 		forwarder.WithRetrier(newRetrier(d.member)),
+		forwarder.WithAttempts(attempts),
 		forwarder.WithZone(d.settings.Zone),
 		forwarder.WithClaimer(claimer.New(d.store)),
 		forwarder.WithLocator(d.locate),
