--- a/coordination/runner/runner.go
+++ b/coordination/runner/runner.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,12 +19,13 @@
 )
 
 // Sink takes in what becomes of one attempt. Its errors mean that the entry
-// can no longer be reached.
+// can no longer be reached; ctx has then ended, and its cause is [ErrCallerGone]
+// if the caller has gone.
 type Sink interface {
 	// Accepted tells that the agent has the request.
-	Accepted() (err error)
+	Accepted(ctx context.Context) (err error)
 	// Head opens the answer.
-	Head(head banyanplank.Head) (err error)
+	Head(ctx context.Context, head banyanplank.Head) (err error)
 	// Part adds the next part. It waits while the entry is too far behind, and
 	// returns the cause of ctx when that ends first.
 	Part(ctx context.Context, part banyanplank.Part) (err error)
@@ -64,6 +66,8 @@
 	sessions map[sessionKey]*session
 	running  int
 	group    conc.WaitGroup
+	// stopped tells that a planned stop has reached its limit.
+	stopped atomic.Bool
 }
 
 // sessionKey names an attempt. The account is part of it so that no caller
@@ -147,6 +151,7 @@
 
 // Stop cancels what still runs, as at the end of a planned stop.
 func (r *Runner) Stop() {
+	r.stopped.Store(true)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range r.sessions {
@@ -166,7 +171,7 @@
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	defer func() { s.leave(errors.Is(context.Cause(ctx), ErrCallerGone)) }()
-	if err := sink.Accepted(); err != nil {
+	if err := sink.Accepted(ctx); err != nil {
 		return end, err
 	}
 	end, err = s.follow(ctx, request.Offset, sink)
@@ -199,7 +204,18 @@
 	if request.Offset > 0 && !request.Resumable() {
 		return nil, refuse(banyanplank.NotRun, banyanplank.ReasonInvalid, "The answer cannot be resumed at another endpoint.")
 	}
-	return r.launch(key, request, r.holder.Open(request.Account)), nil
+	room := r.holder.Reserve(request.Account)
+	if !room.Grow(len(request.Body)) {
+		room.Release()
+		return nil, crowded()
+	}
+	return r.launch(key, request, r.holder.Open(request.Account), room), nil
+}
+
+// crowded refuses a request whose body finds no room.
+func crowded() (refusal *banyanplank.Refusal) {
+	return refuse(banyanplank.NotRun, banyanplank.ReasonLimit,
+		"The requests and answers held at the agent fill the memory set aside for them.")
 }
 
 // joinOnce asks the record of a non-repeatable request what to do with it.
@@ -210,7 +226,7 @@
 	stream := r.holder.Open(request.Account)
 	start, earlier, err := r.recorder.Begin(time.Now(), request.OnceKey(), request.Binding, stream)
 	if start {
-		return r.launch(key, request, stream), nil
+		return r.launchOnce(key, request, stream)
 	}
 	stream.Drop()
 	if err != nil {
@@ -219,9 +235,23 @@
 	return &session{runner: r, request: request, call: request.CallDigest(), stream: earlier, followers: 1, guest: true}, nil
 }
 
+// launchOnce starts the session of a non-repeatable request, or promises never
+// to run it when its body finds no room.
+func (r *Runner) launchOnce(key sessionKey, request *banyanplank.Request, stream *holder.Stream) (s *session, err error) {
+	room := r.holder.Reserve(request.Account)
+	if !room.Grow(len(request.Body)) {
+		room.Release()
+		stream.Drop()
+		refusal := crowded()
+		r.recorder.Release(request.OnceKey(), request.Binding.Generation, refusal)
+		return nil, refusal
+	}
+	return r.launch(key, request, stream, room), nil
+}
+
 // launch starts a new session with one follower. What may not be repeated runs
 // from its first part on, however much of it the caller asks for.
-func (r *Runner) launch(key sessionKey, request *banyanplank.Request, stream *holder.Stream) (s *session) {
+func (r *Runner) launch(key sessionKey, request *banyanplank.Request, stream *holder.Stream, room *holder.Reservation) (s *session) {
 	if request.Once {
 		whole := *request
 		whole.Offset = 0
@@ -237,6 +267,8 @@
 		first:     request.Offset,
 		followers: 1,
 		cancel:    cancel,
+		done:      make(chan struct{}),
+		room:      room,
 	}
 	r.sessions[key] = s
 	r.running++
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -31,7 +31,8 @@
 
 func newAgent(d *Daemon) (a *agent, err error) {
 	guard, endpoint := newGuard(d.settings, d.member, invoker.New(d.settings.Endpoint.Address))
-	a = &agent{daemon: d, endpoint: endpoint, admitter: newMeasured(guard, d.settings.Name, d.logger)}
+	admits := newMeasured(guard, d.settings.Name, d.logger)
+	a = &agent{daemon: d, endpoint: endpoint, admitter: gate{Admitter: admits, serves: d.serves}}
 	a.runner = newRunner(d, a.endpoint, a.admitter)
 	return a, d.listener.HandleCalls(a)
 }
@@ -96,4 +97,4 @@
 	return max(a.runner.Running(), int(a.following.Load()))
 }
 
-func (a *agent) ready() (ready bool) { return a.known.Load() }
+func (a *agent) ready() (ready bool) { return a.known.Load() && a.daemon.serves(time.Now()) }
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -50,6 +50,8 @@
 		receiver.WithBody(d.settings.Limits.Body),
 		receiver.WithTimeout(time.Duration(d.settings.Limits.Timeout)),
 		receiver.WithReady(e.ready),
+		receiver.WithBodies(newHolder(d)),
+		receiver.WithOutcomes(d.tallier),
 	)
 	e.server = receiver.NewServer(e.counted(handler))
 	return e, exchanger.DRPCRegisterExchanger(d.listener.Mux(), exchange{entry: e})
@@ -84,6 +86,7 @@
 func (e *entry) renew(now time.Time, members []banyanplank.Member) {
 	configuration := e.daemon.keeper.View().Configuration
 	e.picker.Renew(now, members, configuration)
+	e.daemon.tallier.Renew(configuration)
 	e.limiter.Renew(configuration, liveEntries(members))
 	e.known.Store(true)
 }
@@ -106,4 +109,8 @@
 
 func (e *entry) inFlight() (requests int) { return int(e.running.Load()) }
 
-func (e *entry) ready() (ready bool) { return e.known.Load() }
+// ready reports whether the entry knows the configuration, is sure enough of it
+// and is in an availability zone in service.
+func (e *entry) ready() (ready bool) {
+	return e.known.Load() && e.daemon.serves(time.Now()) && !e.daemon.keeper.View().IsZoneOut(e.daemon.settings.Zone)
+}
