Never call a key not run that may have run before

Cause: an entry paused while it bound a key said not run at the deadline, and so did one that found no agent to pick, although an earlier call with the key had run. Pauses of entries and agents, added to the faults of the fleet in memory, showed the first; reading the code for its kin showed the second. Change: the arbiter says not run of a key only when it is known to be unused so far; with no agent to pick, the claim is looked up, and a used key goes to its agent; a ticket needs no pick; nothing is sent after the deadline. The store is slow in some worlds, and picks fail in some.

--- a/coordination/arbiter/arbiter.go
+++ b/coordination/arbiter/arbiter.go
@@ -82,6 +82,9 @@
 	// Sent tells that an earlier or this attempt sent the request to an agent
 	// that has not since promised never to run it.
 	Sent bool
+	// Unused tells that the key is known not to have run so far: it is not bound,
+	// or the agent to which it is bound has promised never to start it.
+	Unused bool
 	// Left is the time until the deadline.
 	Left time.Duration
 	// Tries counts the tries that the retry budget still allows.
@@ -148,12 +151,17 @@
 	if c.movable() && c.again() {
 		return Verdict{Action: ActionElsewhere}
 	}
-	if c.Delivered || c.Sent {
+	if c.Delivered || c.Sent || c.Step == StepPick && c.maybeUsed() {
 		return c.refuse(c.Refusal.Reason, c.Refusal.Detail)
 	}
 	return Verdict{Action: ActionRefuse, Refusal: c.Refusal}
 }
 
+// maybeUsed reports whether an earlier call with the same key may have run.
+func (c Case) maybeUsed() bool {
+	return (c.Binding == BindingClaim || c.Binding == BindingTicket) && !c.Unused
+}
+
 // movable reports whether another agent may take a request that this one
 // refused. Its refusal is also its promise never to start it.
 func (c Case) movable() bool {
@@ -224,8 +232,7 @@
 // other entry can have sent it under the same key.
 func (c Case) refuse(reason banyanplank.Reason, detail string) (verdict Verdict) {
 	outcome := banyanplank.NotRun
-	shared := c.Binding == BindingClaim || c.Binding == BindingTicket
-	if c.Sent || c.Delivered || c.Step >= StepSend && c.Cause != CauseRefused || shared && c.Step >= StepDial {
+	if c.Sent || c.Delivered || c.Step >= StepSend && c.Cause != CauseRefused || c.maybeUsed() {
 		outcome = banyanplank.OutcomeUnknown
 	}
 	return Verdict{Action: ActionRefuse, Refusal: &banyanplank.Refusal{
--- a/coordination/arbiter/arbiter_test.go
+++ b/coordination/arbiter/arbiter_test.go
@@ -30,6 +30,12 @@
 		"1 nothing to pick, earlier try lost": {
 			given:  arbiter.Case{Step: arbiter.StepPick, Sent: true, Refusal: notRun(banyanplank.ReasonNoEndpoint)},
 			action: arbiter.ActionRefuse, outcome: banyanplank.OutcomeUnknown},
+		"1 nothing to pick, key": {
+			given:  arbiter.Case{Step: arbiter.StepPick, Binding: arbiter.BindingClaim, Refusal: notRun(banyanplank.ReasonNoEndpoint)},
+			action: arbiter.ActionRefuse, outcome: banyanplank.OutcomeUnknown},
+		"1 nothing to pick, unused key": {
+			given:  arbiter.Case{Step: arbiter.StepPick, Binding: arbiter.BindingClaim, Unused: true, Refusal: notRun(banyanplank.ReasonNoEndpoint)},
+			action: arbiter.ActionRefuse, outcome: banyanplank.NotRun},
 		"2 claim conflicts": {
 			given:  arbiter.Case{Step: arbiter.StepBind, Binding: arbiter.BindingClaim, Refusal: notRun(banyanplank.ReasonConflict)},
 			action: arbiter.ActionRefuse, outcome: banyanplank.NotRun},
@@ -115,6 +121,9 @@
 		"15 deadline before sending": {
 			given:  arbiter.Case{Step: arbiter.StepPick, Cause: arbiter.CauseDeadline},
 			action: arbiter.ActionRefuse, outcome: banyanplank.NotRun},
+		"15 deadline before sending, key": {
+			given:  arbiter.Case{Step: arbiter.StepBind, Cause: arbiter.CauseDeadline, Binding: arbiter.BindingClaim},
+			action: arbiter.ActionRefuse, outcome: banyanplank.OutcomeUnknown},
 		"15 deadline after sending": {
 			given:  arbiter.Case{Step: arbiter.StepAccept, Cause: arbiter.CauseDeadline, Sent: true},
 			action: arbiter.ActionRefuse, outcome: banyanplank.OutcomeUnknown},
@@ -162,6 +171,7 @@
 			Delivered: rapid.Bool().Draw(t, "delivered"),
 			Resumable: rapid.Bool().Draw(t, "resumable"),
 			Sent:      rapid.Bool().Draw(t, "sent"),
+			Unused:    rapid.Bool().Draw(t, "unused"),
 			Tries:     rapid.IntRange(0, 2).Draw(t, "tries"),
 			Left:      time.Duration(rapid.IntRange(0, 2).Draw(t, "left")),
 			Refusal: &banyanplank.Refusal{
@@ -173,6 +183,11 @@
 		if verdict.Refusal != nil && verdict.Refusal.Outcome == banyanplank.NotRun && (c.Sent || c.Delivered) {
 			t.Fatalf("not run after it was sent: %+v", c)
 		}
+		shared := c.Binding == arbiter.BindingClaim || c.Binding == arbiter.BindingTicket
+		told := c.Cause == arbiter.CauseRefused && c.Step != arbiter.StepPick
+		if verdict.Refusal != nil && verdict.Refusal.Outcome == banyanplank.NotRun && shared && !c.Unused && !told {
+			t.Fatalf("not run of a key that may have run: %+v", c)
+		}
 		promised := c.Cause == arbiter.CauseRefused && c.Refusal.Outcome == banyanplank.NotRun && c.Step >= arbiter.StepSend
 		unsent := c.Binding == arbiter.BindingOwn && c.Cause == arbiter.CauseDial && !c.Sent
 		if verdict.Action == arbiter.ActionElsewhere && c.Binding != arbiter.BindingNone && !promised && !unsent {
--- a/coordination/claimer/claimer.go
+++ b/coordination/claimer/claimer.go
@@ -101,6 +101,23 @@
 	return c.run(ctx, key, claim{offer: offer})
 }
 
+// Find returns the binding of the key, if it has one. The error is a
+// [*banyanplank.Refusal].
+func (c *Claimer) Find(ctx context.Context, key Key) (binding banyanplank.Binding, found bool, err error) {
+	msg := c.get(ctx, c.name(key))
+	if errors.Is(msg.err, banyanplank.ErrNotFound) {
+		return binding, false, nil
+	}
+	if msg.err != nil {
+		return binding, false, unknown(msg.err)
+	}
+	binding, err = decode(msg.object)
+	if err != nil {
+		return binding, false, unknown(err)
+	}
+	return binding, true, nil
+}
+
 // Move binds the key to the offered agent in place of from. Call it only after
 // the agent of from has promised never to start the request under that
 // generation. The error is a [*banyanplank.Refusal].
--- a/coordination/forwarder/bind.go
+++ b/coordination/forwarder/bind.go
@@ -25,46 +25,74 @@
 	}
 }
 
+// bindTicket goes to the agent that the ticket names.
+func (l *flow) bindTicket() (err error) {
+	l.step = arbiter.StepBind
+	ticket, err := claimer.ParseTicket(l.request.Key)
+	if err != nil {
+		return refuseKey(err)
+	}
+	l.began = time.Now()
+	return l.turn(ticket.Binding(l.request.CallDigest()))
+}
+
+// find looks for an earlier binding when there is no agent to pick. A key that
+// has none was not used so far.
+func (l *flow) find(cause error) (err error) {
+	l.step = arbiter.StepBind
+	binding, found, err := l.forwarder.claimer.Find(l.ctx, l.key())
+	if err != nil {
+		return err
+	}
+	if !found {
+		l.step = arbiter.StepPick
+		l.unused = true
+		return cause
+	}
+	if binding.Call != l.request.CallDigest() {
+		return refuseCall()
+	}
+	return l.turn(binding)
+}
+
 // bind binds the request to the picked agent, or finds the agent to which its
 // key was bound before.
 func (l *flow) bind() (err error) {
-	offer := banyanplank.Binding{
+	l.step = arbiter.StepBind
+	binding := banyanplank.Binding{
 		Daemon:      l.member.ID,
 		Incarnation: l.member.Incarnation,
 		Generation:  l.request.Binding.Generation + 1,
 		Call:        l.request.CallDigest(),
 		Until:       time.Now().Add(ownLifetime),
 	}
-	binding := offer
-	switch l.kind {
-	case arbiter.BindingTicket:
-		ticket, err := claimer.ParseTicket(l.request.Key)
-		if err != nil {
-			return refuseKey(err)
-		}
-		binding = ticket.Binding(offer.Call)
-	case arbiter.BindingClaim:
-		binding, err = l.claim(offer)
+	if l.kind == arbiter.BindingClaim {
+		binding, err = l.claim(binding)
 		if err != nil {
 			return err
 		}
 	}
-	l.request.Binding = binding
 	return l.turn(binding)
 }
 
+// key returns the key of the request.
+func (l *flow) key() (key claimer.Key) {
+	return claimer.Key{Account: l.request.Account, Text: l.request.Key}
+}
+
 // claim asks the claimer. After a first binding the agent has promised never
 // to run the request, so the key moves.
 func (l *flow) claim(offer banyanplank.Binding) (binding banyanplank.Binding, err error) {
-	key := claimer.Key{Account: l.request.Account, Text: l.request.Key}
 	if l.request.Binding.Bound() {
-		return l.forwarder.claimer.Move(l.ctx, key, l.request.Binding, offer)
+		return l.forwarder.claimer.Move(l.ctx, l.key(), l.request.Binding, offer)
 	}
-	return l.forwarder.claimer.Claim(l.ctx, time.Now(), key, offer)
+	return l.forwarder.claimer.Claim(l.ctx, time.Now(), l.key(), offer)
 }
 
 // turn goes to the agent of the binding if that is not the picked one.
 func (l *flow) turn(binding banyanplank.Binding) (err error) {
+	l.request.Binding = binding
+	l.unused = false
 	if binding.Daemon == l.member.ID {
 		return nil
 	}
@@ -101,6 +129,15 @@
 	l.member = banyanplank.Member{ID: place.Daemon}
 }
 
+// refuseCall refuses a key that stands for another call.
+func refuseCall() (refusal *banyanplank.Refusal) {
+	return &banyanplank.Refusal{
+		Outcome: banyanplank.NotRun,
+		Reason:  banyanplank.ReasonConflict,
+		Detail:  "The Idempotency-Key was used before with another call; use a new key for a new call.",
+	}
+}
+
 func refuseKey(err error) (refusal *banyanplank.Refusal) {
 	return &banyanplank.Refusal{
 		Outcome: banyanplank.NotRun,
--- a/coordination/forwarder/delivery_test.go
+++ b/coordination/forwarder/delivery_test.go
@@ -189,9 +189,10 @@
 }
 
 // play runs the calls in a world of its own under a paused clock.
-func play(t *testing.T, calls []*call, plan []fault, restarts []time.Duration, outage [2]time.Duration) (steps int, problems []string) {
+func play(t *testing.T, calls []*call, plan []fault, restarts []time.Duration, outage [2]time.Duration, slow time.Duration) (steps int, problems []string) {
 	synctest.Test(t, func(*testing.T) {
 		w := newWorld(3, 3, plan)
+		w.platform.SetDelay(slow, slow)
 		prepare(w, calls)
 		var group conc.WaitGroup
 		for _, c := range calls {
@@ -264,7 +265,8 @@
 			time.Duration(rapid.IntRange(0, 3000).Draw(r, "down")) * time.Millisecond,
 			time.Duration(rapid.SampledFrom([]int{0, 0, 2000, 60_000}).Draw(r, "outage")) * time.Millisecond,
 		}
-		steps, problems := play(t, calls, plan, restarts, outage)
+		slow := time.Duration(rapid.SampledFrom([]int{0, 0, 0, 10, 400, 900}).Draw(r, "slow")) * time.Millisecond
+		steps, problems := play(t, calls, plan, restarts, outage, slow)
 		mu.Lock()
 		total += steps
 		mu.Unlock()
--- a/coordination/forwarder/flow.go
+++ b/coordination/forwarder/flow.go
@@ -38,7 +38,9 @@
 	// to run it.
 	sent bool
 	// doubt tells that an earlier agent may have run the request.
-	doubt     bool
+	doubt bool
+	// unused tells that the key of the request has not run so far.
+	unused    bool
 	delivered bool
 	tries     int
 	attempts  int
@@ -108,16 +110,19 @@
 
 // pick chooses an agent for a new attempt and binds the request to it.
 func (l *flow) pick() (err error) {
-	l.step = arbiter.StepPick
-	if err := l.choose(); err != nil {
-		return err
-	}
 	l.request.Attempt = banyanplank.AttemptID(fmt.Sprintf("%s.%d", l.request.ID, l.attempts))
 	l.attempts++
-	if !l.request.Once {
-		return nil
+	if l.kind == arbiter.BindingTicket {
+		return l.bindTicket()
+	}
+	l.step = arbiter.StepPick
+	err = l.choose()
+	if err != nil && l.kind == arbiter.BindingClaim && !l.request.Binding.Bound() {
+		return l.find(err)
+	}
+	if err != nil || !l.request.Once {
+		return err
 	}
-	l.step = arbiter.StepBind
 	return l.bind()
 }
 
@@ -140,8 +145,14 @@
 		}
 		l.countOut(asRefusal(err))
 		l.query.Avoid = append(l.query.Avoid, l.member.ID)
+		l.member = banyanplank.Member{}
+	}
+	return &banyanplank.Refusal{
+		Outcome:    banyanplank.NotRun,
+		Reason:     banyanplank.ReasonNoEndpoint,
+		RetryAfter: time.Second,
+		Detail:     "No agent that was asked answered: " + err.Error(),
 	}
-	return err
 }
 
 // open opens a connection for the attempt. Every connection after the first
@@ -245,6 +256,7 @@
 	refusal := asRefusal(cause)
 	if promised(cause) && l.step >= arbiter.StepSend {
 		l.sent = false
+		l.unused = true
 	}
 	verdict := arbiter.Judge(l.describe(refusal))
 	switch verdict.Action {
@@ -283,6 +295,7 @@
 		Delivered: l.delivered,
 		Resumable: l.request.Resumable(),
 		Sent:      l.sent || l.doubt,
+		Unused:    l.unused,
 		Left:      time.Until(l.request.Deadline),
 		Tries:     l.forwarder.attempts - l.tries,
 	}
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -41,6 +41,7 @@
 type Claimer interface {
 	Claim(ctx context.Context, now time.Time, key claimer.Key, offer banyanplank.Binding) (binding banyanplank.Binding, err error)
 	Move(ctx context.Context, key claimer.Key, from, offer banyanplank.Binding) (binding banyanplank.Binding, err error)
+	Find(ctx context.Context, key claimer.Key) (binding banyanplank.Binding, found bool, err error)
 }
 
 // Locator finds a daemon that is not gone.
@@ -126,6 +127,10 @@
 	return binding, errNoClaimer
 }
 
+func (noClaimer) Find(context.Context, claimer.Key) (binding banyanplank.Binding, found bool, err error) {
+	return binding, false, errNoClaimer
+}
+
 // Place is where an earlier call left an answer, as an event id tells.
 type Place struct {
 	Daemon  banyanplank.DaemonID
--- a/coordination/forwarder/link_test.go
+++ b/coordination/forwarder/link_test.go
@@ -64,6 +64,11 @@
 	case faultDelay, faultCross:
 		w.later(5*time.Second, member.ID, &sent)
 		return nil, w.await(ctx, "the request is late")
+	case faultPause:
+		time.Sleep(pause)
+		if ctx.Err() != nil {
+			return nil, unsent("the entry noticed that it was paused")
+		}
 	case faultDouble:
 		again := sent
 		w.later(time.Minute, member.ID, &again)
--- a/coordination/forwarder/scenario_test.go
+++ b/coordination/forwarder/scenario_test.go
@@ -21,11 +21,18 @@
 		dead    bool
 		timeout time.Duration
 		leave   bool
+		agents  int
 		outcome banyanplank.Outcome
 		reason  banyanplank.Reason
 		runs    int
 	}{
 		"nothing fails":                    {runs: 1},
+		"1 nothing to pick":                {script: map[point][]fault{pointPick: {faultRefuse}}, outcome: banyanplank.NotRun, reason: banyanplank.ReasonNoEndpoint},
+		"1 nothing to pick, unused key":    {kind: callClaim, script: map[point][]fault{pointPick: {faultRefuse}}, outcome: banyanplank.NotRun, reason: banyanplank.ReasonNoEndpoint},
+		"1 nothing to pick, store down":    {kind: callClaim, down: true, script: map[point][]fault{pointPick: {faultRefuse}}, outcome: banyanplank.OutcomeUnknown, reason: banyanplank.ReasonStore},
+		"1 nothing to pick, ticket":        {kind: callTicket, script: map[point][]fault{pointPick: {faultRefuse}}, runs: 1},
+		"1 no agent answers, key":          {kind: callClaim, agents: 6, script: map[point][]fault{pointIdentify: every(faultLoss)}, outcome: banyanplank.NotRun, reason: banyanplank.ReasonNoEndpoint},
+		"1 one agent does not answer, own": {kind: callOwn, script: map[point][]fault{pointIdentify: {faultLoss}}, runs: 1},
 		"3 store down, key":                {kind: callClaim, down: true, outcome: banyanplank.OutcomeUnknown, reason: banyanplank.ReasonStore},
 		"3 store down, ticket":             {kind: callTicket, down: true, runs: 1},
 		"3 claim's reply lost":             {kind: callClaim, script: map[point][]fault{pointPut: {faultCross}}, runs: 1},
@@ -48,6 +55,9 @@
 		"8 refused request doubled, own":   {kind: callOwn, script: map[point][]fault{pointOpen: {faultDouble}, pointAdmit: {faultRefuse}}, runs: 1},
 		"8 endpoint refuses, own":          {kind: callOwn, script: map[point][]fault{pointRun: {faultRefuse}}, runs: 1},
 		"9 agent refuses, ticket":          {kind: callTicket, script: map[point][]fault{pointAdmit: {faultRefuse}}, outcome: banyanplank.NotRun, reason: banyanplank.ReasonOverload},
+		"7 entry paused, own":              {kind: callOwn, script: map[point][]fault{pointOpen: {faultPause}}, outcome: banyanplank.NotRun, reason: banyanplank.ReasonDeadline},
+		"7 entry paused after claim, key":  {kind: callClaim, script: map[point][]fault{pointPut: {faultPause}}, outcome: banyanplank.OutcomeUnknown, reason: banyanplank.ReasonDeadline},
+		"7 agent paused before run, key":   {kind: callClaim, script: map[point][]fault{pointRun: {faultPause}}, outcome: banyanplank.OutcomeUnknown, reason: banyanplank.ReasonInProgress, runs: 1},
 		"10 acceptance lost":               {script: map[point][]fault{pointAccepted: {faultLoss}}, runs: 1},
 		"10 acceptance lost, own":          {kind: callOwn, script: map[point][]fault{pointAccepted: {faultLoss}}, runs: 1},
 		"11 part lost":                     {script: map[point][]fault{pointPart: {faultNone, faultLoss}}, runs: 1},
@@ -73,7 +83,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				w := newWorld(3, 1, nil)
+				w := newWorld(max(test.agents, 3), 1, nil)
 				w.script = test.script
 				w.platform.SetDown(test.down)
 				c := &call{kind: test.kind, timeout: time.Minute, leave: test.leave}
@@ -160,3 +170,22 @@
 		is.Equal(check(w, []*call{first, second}), nil)
 	})
 }
+
+// TestRepeatWithNothingToPick repeats a key that ran when no agent takes new
+// work.
+func TestRepeatWithNothingToPick(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(3, 2, nil)
+		w.script = map[point][]fault{pointPick: {faultNone, faultRefuse}}
+		first := &call{kind: callClaim, timeout: time.Minute}
+		second := &call{kind: callClaim, entry: 1, start: time.Minute, timeout: time.Minute}
+		prepare(w, []*call{first, second})
+		first.run(w)
+		second.run(w)
+		w.close()
+		is.NoErr(first.err)
+		is.NoErr(second.err)
+		is.Equal(check(w, []*call{first, second}), nil)
+	})
+}
--- a/coordination/forwarder/world_test.go
+++ b/coordination/forwarder/world_test.go
@@ -19,6 +19,9 @@
 	"github.com/banyanplank/banyanplank/state/recorder"
 )
 
+// pause is how long a paused process sleeps. It is longer than most deadlines.
+const pause = 3 * time.Minute
+
 // silence is how long a path is silent before it is given up.
 const silence = 2 * time.Second
 
@@ -41,6 +44,9 @@
 	faultRefuse
 	// faultDeath kills the receiver once it has it.
 	faultDeath
+	// faultPause stops whoever sends or handles it for minutes, who then goes on
+	// as if no time had passed.
+	faultPause
 	faultKinds
 )
 
@@ -48,7 +54,8 @@
 type point uint8
 
 const (
-	pointIdentify point = iota
+	pointPick point = iota
+	pointIdentify
 	pointGet
 	pointPut
 	pointOpen
@@ -207,6 +214,9 @@
 type turns struct{ world *world }
 
 func (p *turns) Pick(_ time.Time, query banyanplank.Query) (choice banyanplank.Choice, err error) {
+	if p.world.next(pointPick) == faultRefuse {
+		return choice, &banyanplank.Refusal{Outcome: banyanplank.NotRun, Reason: banyanplank.ReasonNoEndpoint}
+	}
 	p.world.mu.Lock()
 	defer p.world.mu.Unlock()
 	for range p.world.agents {
@@ -257,6 +267,10 @@
 			_, _ = s.ObjectStore.Put(context.Background(), name, value, expect)
 		})
 		return 0, banyanplank.ErrUncertain
+	case faultPause:
+		version, err = s.ObjectStore.Put(ctx, name, value, expect)
+		time.Sleep(pause)
+		return version, err
 	default:
 		return s.ObjectStore.Put(ctx, name, value, expect)
 	}
@@ -269,6 +283,8 @@
 	switch a.world.next(pointAdmit) {
 	case faultRefuse:
 		return nil, &banyanplank.Refusal{Outcome: banyanplank.NotRun, Reason: banyanplank.ReasonOverload}
+	case faultPause:
+		time.Sleep(pause)
 	case faultDelay, faultLate:
 		select {
 		case <-time.After(10 * time.Second):
@@ -315,6 +331,9 @@
 	if f == faultRefuse {
 		return nil, &banyanplank.Refusal{Outcome: banyanplank.NotRun, Reason: banyanplank.ReasonOverload}
 	}
+	if f == faultPause {
+		time.Sleep(pause)
+	}
 	body := string(request.Body)
 	e.world.mu.Lock()
 	e.world.runs[body]++
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -157,6 +157,10 @@
 	c := newCall(inner, cancel, d, stream)
 	c.release = func(sound bool) { d.put(member.Peer, conn, sound) }
 	c.stopWatch = context.AfterFunc(ctx, c.abort)
+	if err := ctx.Err(); err != nil {
+		c.Leave()
+		return nil, &dialError{cause: err}
+	}
 	open := carrier.NewOpen(time.Now(), request, member.Incarnation)
 	if err := stream.Send(&carrier.Up{Body: &carrier.Up_Open{Open: open}}); err != nil {
 		c.Leave()
