Test a group's daemons over the network

Cause: orders between daemons had only run without a network.

Change: HTTP handlers for the stand-in ranks, and tests of three agent daemons on loopback: the coordinator settles the map, serves status and picture; an agent refuses an old fencing number and a map of another group.

Conclusion: the daemon's side works but for the lease.

--- /dev/null
+++ b/daemon/experts_test.go
@@ -0,0 +1,158 @@
+package daemon_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/rebalancer"
+	"github.com/banyanplank/banyanplank/coordination/switcher"
+	"github.com/banyanplank/banyanplank/daemon"
+	"github.com/banyanplank/banyanplank/protocol/orderer"
+	"github.com/banyanplank/banyanplank/standin/platform"
+	"github.com/banyanplank/banyanplank/standin/ranks"
+	"github.com/banyanplank/banyanplank/state/loader"
+	"github.com/banyanplank/banyanplank/transport/dialer"
+)
+
+// groupRanks is the number of ranks in these tests.
+const groupRanks = 3
+
+// fixedLease is held from the start, or never.
+type fixedLease struct{ fence uint64 }
+
+func (l fixedLease) Run(ctx context.Context) (err error) {
+	<-ctx.Done()
+	return nil
+}
+
+func (l fixedLease) Fence(time.Time) (fence uint64, held bool) { return l.fence, l.fence > 0 }
+
+// group is a group of ranks with an agent daemon beside each, on loopback.
+type group struct {
+	agents  []loader.Settings
+	engines *ranks.Engines
+}
+
+// startGroup runs a group until the test ends. Rank 0 holds the lease.
+func startGroup(t *testing.T) (g *group) {
+	t.Helper()
+	is := is.New(t)
+	store := platform.New()
+	text, err := toml.Marshal(banyanplank.Configuration{
+		Zones:    []banyanplank.ZoneSpec{{Name: "a", Region: "r"}},
+		Services: []banyanplank.ServiceSpec{{Name: "guide", Kind: banyanplank.ServiceModel}},
+		Groups: []banyanplank.GroupSpec{{
+			Name: "g", Service: "guide", Zones: []banyanplank.Zone{"a"},
+			Ranks: groupRanks, Layers: 2, Experts: 4, Slots: 2,
+		}},
+	})
+	is.NoErr(err)
+	_, err = store.Put(t.Context(), "configuration", text, 0)
+	is.NoErr(err)
+	g = &group{engines: ranks.NewEngines(ranks.NewGroup(groupRanks, 1))}
+	ctx, cancel := context.WithCancel(context.Background())
+	running := pool.New().WithContext(ctx).WithFirstError()
+	for rank := range groupRanks {
+		endpoint := httptest.NewServer(g.engines.Handler(rank))
+		t.Cleanup(endpoint.Close)
+		settings := newSettings(t, banyanplank.RoleAgent)
+		settings.Name = banyanplank.DaemonID(fmt.Sprint("agent-", rank))
+		settings.Endpoint = loader.Endpoint{Address: endpoint.URL, Service: "guide", Capacity: 1 << 20, Group: "g", Rank: rank}
+		g.agents = append(g.agents, settings)
+		held := fixedLease{}
+		if rank == 0 {
+			held.fence = 5
+		}
+		d, err := daemon.New(settings, daemon.WithStore(store), daemon.WithInstances(store), daemon.WithGroupLease(held))
+		is.NoErr(err)
+		running.Go(d.Run)
+	}
+	t.Cleanup(func() {
+		cancel()
+		is.NoErr(running.Wait())
+	})
+	return g
+}
+
+// get reads a page of an agent's operators' address.
+func (g *group) get(t *testing.T, rank int, path string) (status int, body string) {
+	t.Helper()
+	url := "http://" + g.agents[rank].Listen.Admin.String() + path
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	is.New(t).NoErr(err)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	is.New(t).NoErr(err)
+	return response.StatusCode, string(text)
+}
+
+// awaitIdle waits until the coordinator has settled the group's map.
+func (g *group) awaitIdle(t *testing.T) (status rebalancer.Status) {
+	t.Helper()
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for range 1000 {
+		if code, body := g.get(t, 0, "/v1/group"); code == http.StatusOK {
+			is.New(t).NoErr(json.Unmarshal([]byte(body), &status))
+			if status.Phase == switcher.Idle {
+				return status
+			}
+		}
+		<-ticker.C
+	}
+	t.Fatalf("the coordinator is %s", status.Phase)
+	return status
+}
+
+func TestAgentsOfAGroupSettleItsMap(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t)
+	status := g.awaitIdle(t)
+	is.Equal(status.Map, banyanplank.MapID(1))
+	is.Equal(status.Fence, uint64(5))
+	code, picture := g.get(t, 0, "/v1/group/picture")
+	is.Equal(code, http.StatusOK)
+	is.True(strings.Contains(picture, "Load per rank of g"))
+	code, _ = g.get(t, 1, "/v1/group")
+	is.Equal(code, http.StatusNotFound) // holds no lease
+}
+
+func TestAgentRefusesOrdersOfAnOldCoordinator(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t)
+	g.awaitIdle(t)
+	d := dialer.New()
+	defer d.Close()
+	give := func(request *orderer.GiveRequest) (reply *orderer.GiveReply) {
+		reply, err := orderer.NewDRPCOrdersClient(d.Conn(t.Context(), g.agents[1].Listen.Peer)).Give(t.Context(), request)
+		is.NoErr(err)
+		return reply
+	}
+	old := give(orderer.FromOrder("g", 1, 99, banyanplank.Order{Kind: banyanplank.OrderAbort, Fence: 4}))
+	is.Equal(old.Refusal, orderer.Refusal_OLD_FENCE)
+	wrong := orderer.FromOrder("g", 1, 1000, banyanplank.Order{Kind: banyanplank.OrderPrepare, Fence: 5, Map: 2})
+	wrong.Change = &orderer.Change{Group: "h", Map: 2, Base: 1}
+	refused := give(wrong)
+	is.Equal(refused.Refusal, orderer.Refusal_FAILED)
+	is.Equal(refused.Detail, `change to map 2 of group "h": want group "g"`)
+	report, err := g.engines.Endpoint(1).Report(t.Context())
+	is.NoErr(err)
+	is.Equal(report.Rank.Map, banyanplank.MapID(1)) // the current map stays
+	is.Equal(report.Rank.Prepared, banyanplank.MapID(0))
+}
--- a/standin/ranks/engines.go
+++ b/standin/ranks/engines.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
 	"sync"
 
 	"github.com/cockroachdb/errors"
+	"github.com/julienschmidt/httprouter"
 
 	"github.com/banyanplank/banyanplank"
 )
@@ -90,3 +93,35 @@
 	defer e.engines.mutex.Unlock()
 	return e.engines.group.Order(e.rank, order)
 }
+
+// Handler serves the engine of one rank over HTTP, as far as orders and
+// reports go.
+func (e *Engines) Handler(rank int) (handler http.Handler) {
+	endpoint := e.Endpoint(rank)
+	router := httprouter.New()
+	router.GET("/admin/report", func(w http.ResponseWriter, request *http.Request, _ httprouter.Params) {
+		report, err := endpoint.Report(request.Context())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(report)
+	})
+	router.POST("/admin/orders", func(w http.ResponseWriter, request *http.Request, _ httprouter.Params) {
+		var order banyanplank.Order
+		err := json.NewDecoder(request.Body).Decode(&order)
+		if err == nil {
+			err = endpoint.Order(request.Context(), order)
+		}
+		switch {
+		case errors.Is(err, ErrOldFence):
+			http.Error(w, err.Error(), http.StatusConflict)
+		case err != nil:
+			http.Error(w, err.Error(), http.StatusBadRequest)
+		default:
+			w.WriteHeader(http.StatusNoContent)
+		}
+	})
+	return router
+}
