--- a/cmd/banyanplankd/script_test.go
+++ b/cmd/banyanplankd/script_test.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -18,13 +17,14 @@
 	"testing"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/sourcegraph/conc"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/accepter"
 	"github.com/banyanplank/banyanplank/daemon"
 	"github.com/banyanplank/banyanplank/standin/engine"
+	"github.com/banyanplank/banyanplank/standin/loopback"
 	"github.com/banyanplank/banyanplank/standin/platform"
 )
 
@@ -45,6 +45,15 @@
 //	request NAME METHOD PATH [KEY] make a plain call; prints status and body
 //	runs NAME KEY COUNT            check how often a server ran a key
 //	store down|up                  break or mend the platform
+//	fault ENGINE crash|freeze|thaw make an engine fall over, stall or go on;
+//	                               "busy" is one that runs a request
+//	stream ID ENTRY TOKENS [FROM]  start a streamed call and wait for its first
+//	                               token; FROM is a stream to resume
+//	streamed ID RESULT             wait for its end: "whole N" or "cut"
+//	resumed ID FROM TOKENS         check that two streams make one whole answer
+//	load ENTRY...                  call the entries all the time, as callers who
+//	                               take another entry when one refuses
+//	unload CUT                     stop that; check how many answers were cut
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:   "testdata/script",
@@ -60,6 +69,12 @@
 			"request":   makeRequest,
 			"runs":      checkRuns,
 			"store":     breakStore,
+			"fault":     breakEngine,
+			"stream":    startStream,
+			"streamed":  awaitStream,
+			"resumed":   checkResumed,
+			"load":      startLoad,
+			"unload":    stopLoad,
 		},
 	})
 }
@@ -74,13 +89,23 @@
 type world struct {
 	platform *platform.Platform
 	plains   map[string]*engine.Plain
+	engines  map[string]*engine.Engine
+	streams  map[string]*streamed
+	load     *load
 	group    conc.WaitGroup
 }
 
 type worldKey struct{}
 
 func setUp(env *testscript.Env) (err error) {
-	env.Values[worldKey{}] = &world{plains: make(map[string]*engine.Plain)}
+	w := &world{
+		plains:  make(map[string]*engine.Plain),
+		engines: make(map[string]*engine.Engine),
+		streams: make(map[string]*streamed),
+	}
+	env.Values[worldKey{}] = w
+	// Deferred functions run last to first: all that stops the group is later.
+	env.Defer(w.group.Wait)
 	return nil
 }
 
@@ -124,13 +149,13 @@
 
 // submit replaces the configuration in force.
 func submit(store banyanplank.ObjectStore, configuration *banyanplank.Configuration) (err error) {
-	text, err := toml.Marshal(configuration)
+	ctx := context.Background()
+	accepts := accepter.New(store)
+	current, err := accepts.Current(ctx)
 	if err != nil {
 		return err
 	}
-	ctx := context.Background()
-	held, _ := store.Get(ctx, "configuration")
-	_, err = store.Put(ctx, "configuration", text, held.Version)
+	_, err = accepts.Accept(ctx, current.Revision, configuration)
 	return err
 }
 
@@ -139,10 +164,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w := worldOf(ts)
 	w.group.Go(func() { e.Run(ctx) })
-	ts.Defer(func() {
-		cancel()
-		w.group.Wait()
-	})
+	ts.Defer(cancel)
+	w.engines[args[0]] = e
 	ts.Setenv(args[0], serveStandin(ts, e.Handler()))
 }
 
@@ -163,10 +186,9 @@
 }
 
 func freePort(ts *testscript.TestScript) (address string) {
-	open, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := loopback.Address()
 	ts.Check(err)
-	defer open.Close()
-	return open.Addr().String()
+	return free.String()
 }
 
 func writeSettings(ts *testscript.TestScript, _ bool, args []string) {
--- a/coordination/picker/picker.go
+++ b/coordination/picker/picker.go
@@ -121,7 +121,8 @@
 	if best.endpoint == nil {
 		return choice, noEndpoint()
 	}
-	best.endpoint.choose(query.Demand)
+	best.endpoint.choose(now, s.pace(best.endpoint), query.Demand)
+	p.index.Store(best.endpoint.index, query.Demand.Prefix)
 	return banyanplank.Choice{
 		Member: best.endpoint.member,
 		Demand: query.Demand,
@@ -217,9 +218,9 @@
 	}
 	e.finish(now, choice, result)
 	if !result.Started {
+		p.index.Remove(e.index, choice.Demand.Prefix)
 		return
 	}
-	p.index.Store(e.index, choice.Demand.Prefix)
 	if s := p.services[e.member.Service]; s != nil {
 		s.typical.hold += (now.Sub(choice.At) - s.typical.hold) / 32
 	}
@@ -297,6 +298,14 @@
 	return e
 }
 
+// reopen forgets that an agent said it was closed, because its zone is out and
+// its word would keep it from being picked when the zone returns.
+func (p *Picker) reopen(id banyanplank.DaemonID) {
+	if e, ok := p.endpoints[id]; ok {
+		e.report.Closed = false
+	}
+}
+
 // number returns an index number that no endpoint has.
 func (p *Picker) number() (id indexer.EndpointID) {
 	if last := len(p.free) - 1; last >= 0 {
--- a/coordination/suspecter/guard.go
+++ b/coordination/suspecter/guard.go
@@ -28,16 +28,19 @@
 	Admitter
 	daemon   banyanplank.DaemonID
 	endpoint banyanplank.Endpoint
-	share    func(Finding)
+	share    func(banyanplank.Finding)
 
 	mu       sync.Mutex
 	suspects *Suspects
 	boot     string
 	// running lists the grants, the latest started first.
 	running []*guarded
+	// recent holds the own findings that load reports carry, told at told.
+	recent []banyanplank.Finding
+	told   time.Time
 	// doubt is a death that no report has confirmed yet, or that one has
 	// denied.
-	doubt  *Finding
+	doubt  *banyanplank.Finding
 	denied bool
 }
 
@@ -46,7 +49,7 @@
 
 // WithShare hands each own finding to share, which passes it to the other
 // daemons. Share must not wait. The default keeps findings to itself.
-func WithShare(share func(Finding)) Option {
+func WithShare(share func(banyanplank.Finding)) Option {
 	return func(g *Guard) { g.share = share }
 }
 
@@ -56,7 +59,7 @@
 		Admitter: admitter,
 		daemon:   daemon,
 		endpoint: endpoint,
-		share:    func(Finding) {},
+		share:    func(banyanplank.Finding) {},
 		suspects: NewSuspects(),
 	}
 	for _, option := range options {
@@ -65,8 +68,28 @@
 	return g
 }
 
+// The findings that load reports carry.
+const (
+	// recentTime is how long they do after the newest.
+	recentTime = 10 * time.Second
+	// mostRecent bounds them.
+	mostRecent = 4
+)
+
+// Load implements [banyanplank.Admitter]. Its report carries the newest
+// findings.
+func (g *Guard) Load() (report banyanplank.LoadReport) {
+	report = g.Admitter.Load()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if time.Since(g.told) < recentTime {
+		report.Findings = slices.Clone(g.recent)
+	}
+	return report
+}
+
 // Learn takes in a finding of another daemon.
-func (g *Guard) Learn(finding Finding) {
+func (g *Guard) Learn(finding banyanplank.Finding) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.suspects.Observe(time.Now(), finding)
@@ -75,7 +98,10 @@
 // Admit implements [banyanplank.Admitter]. A request that becomes a suspect
 // while it waits is admitted anew, alone.
 func (g *Guard) Admit(ctx context.Context, request *banyanplank.Request) (grant banyanplank.Grant, err error) {
-	print := FingerprintOf(request)
+	for _, finding := range request.Findings {
+		g.Learn(finding)
+	}
+	print := request.Fingerprint()
 	verdict, retry := g.judge(print)
 	for {
 		if verdict == VerdictRefused {
@@ -102,7 +128,7 @@
 }
 
 // judge returns the verdict on a request and how long it stays.
-func (g *Guard) judge(print Fingerprint) (verdict Verdict, retry time.Duration) {
+func (g *Guard) judge(print banyanplank.Fingerprint) (verdict Verdict, retry time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -119,7 +145,7 @@
 }
 
 // start counts in a request that runs from now on.
-func (g *Guard) start(grant banyanplank.Grant, attempt banyanplank.AttemptID, print Fingerprint) *guarded {
+func (g *Guard) start(grant banyanplank.Grant, attempt banyanplank.AttemptID, print banyanplank.Fingerprint) *guarded {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := &guarded{Grant: grant, guard: g, attempt: attempt, print: print}
@@ -127,20 +153,42 @@
 	return r
 }
 
+// staller is a grant that can be told of a slow reader.
+type staller interface {
+	// Stall tells that the answer was not read for a while.
+	Stall()
+}
+
 // guarded is the grant of a request that the guard watches.
 type guarded struct {
 	banyanplank.Grant
 	guard    *Guard
 	attempt  banyanplank.AttemptID
-	print    Fingerprint
+	print    banyanplank.Fingerprint
 	began    bool
 	failed   bool
 	released bool
 }
 
-// Progress implements [banyanplank.Grant].
-func (r *guarded) Progress(tokens int) {
-	r.Grant.Progress(tokens)
+// Progress implements [banyanplank.Grant]. It does nothing, because the guard
+// sees the parts as they come from the endpoint.
+func (r *guarded) Progress(int) {}
+
+// received counts a part as it comes from the endpoint.
+func (r *guarded) received() {
+	if r != nil {
+		r.Grant.Progress(1)
+	}
+}
+
+// stall tells the grant of a slow reader.
+func (r *guarded) stall() {
+	if r == nil {
+		return
+	}
+	if s, ok := r.Grant.(staller); ok {
+		s.Stall()
+	}
 }
 
 // Release implements [banyanplank.Grant]. Whether the endpoint survived is
@@ -163,27 +211,37 @@
 	now := time.Now()
 	endedWell := healthy && r.began && !r.failed
 	if endedWell && g.suspects.Judge(now, r.print) == VerdictAlone {
-		g.tell(now, Finding{Kind: FindingCleared, Requests: []Fingerprint{r.print}})
+		g.tell(now, banyanplank.Finding{Kind: banyanplank.FindingCleared, Requests: []banyanplank.Fingerprint{r.print}})
 	}
 	return r.failed
 }
 
 // tell takes in an own finding and shares it.
-func (g *Guard) tell(now time.Time, finding Finding) {
-	if g.suspects.Observe(now, finding) {
-		g.share(finding)
+func (g *Guard) tell(now time.Time, finding banyanplank.Finding) {
+	if !g.suspects.Observe(now, finding) {
+		return
+	}
+	if now.Sub(g.told) >= recentTime {
+		g.recent = nil
 	}
+	g.told = now
+	g.recent = append(g.recent, finding)
+	g.recent = slices.Delete(g.recent, 0, max(0, len(g.recent)-mostRecent))
+	g.share(finding)
 }
 
-// begin marks an attempt as begun at the endpoint.
-func (g *Guard) begin(attempt banyanplank.AttemptID) {
+// begin marks an attempt as begun at the endpoint and returns its grant, or
+// nil when it has none.
+func (g *Guard) begin(attempt banyanplank.AttemptID) *guarded {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, r := range g.running {
 		if r.attempt == attempt {
 			r.began = true
+			return r
 		}
 	}
+	return nil
 }
 
 // fail takes in that the endpoint broke off an attempt. What runs beside it is
@@ -199,7 +257,7 @@
 	if g.doubt != nil && !g.denied {
 		return
 	}
-	death := Finding{Kind: FindingDeath, Death: DeathOf(g.daemon, g.boot)}
+	death := banyanplank.Finding{Kind: banyanplank.FindingDeath, Death: banyanplank.NewDeathID(g.daemon, g.boot)}
 	for _, r := range g.running {
 		if r.began {
 			death.Requests = append(death.Requests, r.print)
@@ -231,7 +289,7 @@
 		g.doubt = nil
 	case !g.denied:
 		g.denied = true
-		g.tell(time.Now(), Finding{Kind: FindingWithdrawn, Death: g.doubt.Death, Requests: g.doubt.Requests})
+		g.tell(time.Now(), banyanplank.Finding{Kind: banyanplank.FindingWithdrawn, Death: g.doubt.Death, Requests: g.doubt.Requests})
 	}
 }
 
@@ -248,13 +306,13 @@
 
 // Run implements [banyanplank.Endpoint].
 func (w *watched) Run(ctx context.Context, request *banyanplank.Request) (answer banyanplank.Answer, err error) {
-	w.guard.begin(request.Attempt)
+	grant := w.guard.begin(request.Attempt)
 	answer, err = w.Endpoint.Run(ctx, request)
 	if err != nil {
 		w.observe(ctx, request.Attempt, err)
 		return nil, err
 	}
-	return &watchedAnswer{Answer: answer, ctx: ctx, watched: w, attempt: request.Attempt}, nil
+	return &watchedAnswer{Answer: answer, ctx: ctx, watched: w, attempt: request.Attempt, grant: grant}, nil
 }
 
 // observe takes in an error of the endpoint, unless it comes from the caller's
@@ -273,18 +331,32 @@
 	}
 }
 
-// watchedAnswer is an answer whose breaking off the guard sees.
+// stallTime is how long the reader of an answer may take with a part before it
+// counts as slow.
+const stallTime = 5 * time.Millisecond
+
+// watchedAnswer is an answer whose pace and breaking off the guard sees.
 type watchedAnswer struct {
 	banyanplank.Answer
 	ctx     context.Context
 	watched *watched
 	attempt banyanplank.AttemptID
+	grant   *guarded
+	// passed is when the latest part was handed on.
+	passed time.Time
 }
 
 // Next implements [banyanplank.Answer].
 func (a *watchedAnswer) Next() (part banyanplank.Part, err error) {
+	if !a.passed.IsZero() && time.Since(a.passed) > stallTime {
+		a.grant.stall()
+	}
 	part, err = a.Answer.Next()
-	if err != nil && !errors.Is(err, io.EOF) {
+	a.passed = time.Now()
+	switch {
+	case err == nil:
+		a.grant.received()
+	case !errors.Is(err, io.EOF):
 		a.watched.observe(a.ctx, a.attempt, err)
 	}
 	return part, err
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -34,8 +34,9 @@
 }
 
 func newAgent(d *Daemon) (a *agent, err error) {
-	guard := newGuard(d.settings, d.member, invoker.New(d.settings.Endpoint.Address))
-	a = &agent{daemon: d, endpoint: guard.Endpoint(), admitter: guard}
+	guard, endpoint := newGuard(d.settings, d.member, invoker.New(d.settings.Endpoint.Address))
+	admits := newMeasured(guard, d.settings.Name, d.logger)
+	a = &agent{daemon: d, endpoint: endpoint, admitter: gate{Admitter: admits, serves: d.serves}}
 	a.runner = newRunner(d, a.endpoint, a.admitter)
 	if a.experts, err = newExperts(d, a.endpoint, d.lease); err != nil {
 		return nil, err
@@ -114,4 +115,4 @@
 	return max(a.runner.Running(), int(a.following.Load()))
 }
 
-func (a *agent) ready() (ready bool) { return a.known.Load() }
+func (a *agent) ready() (ready bool) { return a.known.Load() && a.daemon.serves(time.Now()) }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,16 +9,18 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/spreader"
 	"github.com/banyanplank/banyanplank/state/keeper"
 	"github.com/banyanplank/banyanplank/state/loader"
+	"github.com/banyanplank/banyanplank/state/tallier"
 	"github.com/banyanplank/banyanplank/transport/dialer"
 	"github.com/banyanplank/banyanplank/transport/listener"
 )
@@ -33,9 +35,11 @@
 	member   banyanplank.Member
 	dialer   *dialer.Dialer
 	listener *listener.Listener
+	tallier  *tallier.Tallier
 	role     role
 	lease    GroupLease
-	known    atomic.Pointer[registry]
+	spreader *spreader.Spreader
+	work     conc.WaitGroup
 }
 
 // role is what an entry and an agent do differently.
@@ -68,7 +72,7 @@
 }
 
 // WithGroupLease uses lease as the lease of the agent's group of ranks. Use it
-// in tests. Without a lease the agent takes orders but never coordinates.
+// in tests. The default is a lease in the object API.
 func WithGroupLease(lease GroupLease) Option {
 	return func(d *Daemon) { d.lease = lease }
 }
@@ -88,6 +92,7 @@
 		keeper:   &keeper.Keeper{},
 		member:   memberOf(settings, time.Now()),
 	}
+	d.tallier = tallier.New(d.member)
 	for _, option := range options {
 		option(d)
 	}
@@ -124,12 +129,16 @@
 func (d *Daemon) assemble(config *tls.Config) (err error) {
 	d.listener = listener.New(listener.WithTLS(config), listener.WithFailed(d.logPeer))
 	if d.settings.Role == banyanplank.RoleEntry {
-		d.role = newEntry(d, config)
-		return nil
+		if d.role, err = newEntry(d, config); err != nil {
+			return err
+		}
+		return d.assembleSpreader()
 	}
 	d.dialer = dialer.New(dialer.WithTLS(config))
-	d.role, err = newAgent(d)
-	return err
+	if d.role, err = newAgent(d); err != nil {
+		return err
+	}
+	return d.assembleSpreader()
 }
 
 func (d *Daemon) logPeer(err error) {
@@ -149,6 +158,7 @@
 	group.Go(d.serveAdmin)
 	group.Go(d.role.serve)
 	group.Go(d.spread)
+	group.Go(d.storeTally)
 	group.Go(func(inner context.Context) (err error) {
 		defer stop()
 		select {
--- a/daemon/experts_test.go
+++ b/daemon/experts_test.go
@@ -12,10 +12,10 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/pelletier/go-toml/v2"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/accepter"
 	"github.com/banyanplank/banyanplank/coordination/rebalancer"
 	"github.com/banyanplank/banyanplank/coordination/switcher"
 	"github.com/banyanplank/banyanplank/daemon"
@@ -50,7 +50,7 @@
 	t.Helper()
 	is := is.New(t)
 	store := platform.New()
-	text, err := toml.Marshal(banyanplank.Configuration{
+	_, err := accepter.New(store).Accept(t.Context(), 0, &banyanplank.Configuration{
 		Zones:    []banyanplank.ZoneSpec{{Name: "a", Region: "r"}},
 		Services: []banyanplank.ServiceSpec{{Name: "guide", Kind: banyanplank.ServiceModel}},
 		Groups: []banyanplank.GroupSpec{{
@@ -59,8 +59,6 @@
 		}},
 	})
 	is.NoErr(err)
-	_, err = store.Put(t.Context(), "configuration", text, 0)
-	is.NoErr(err)
 	g = &group{engines: ranks.NewEngines(ranks.NewGroup(groupRanks, 1))}
 	ctx, cancel := context.WithCancel(context.Background())
 	running := pool.New().WithContext(ctx).WithFirstError()
