--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -37,9 +37,9 @@
 	listener *listener.Listener
 	tallier  *tallier.Tallier
 	role     role
+	lease    GroupLease
 	spreader *spreader.Spreader
 	work     conc.WaitGroup
-	lease    GroupLease
 }
 
 // role is what an entry and an agent do differently.
@@ -135,9 +135,6 @@
 		return d.assembleSpreader()
 	}
 	d.dialer = dialer.New(dialer.WithTLS(config))
-	if d.lease == nil && d.member.Group != "" {
-		d.lease = newGroupLease(d.store, d.member)
-	}
 	if d.role, err = newAgent(d); err != nil {
 		return err
 	}
