--- a/daemon/experts.go
+++ b/daemon/experts.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/pool"
 	"google.golang.org/protobuf/proto"
@@ -222,6 +224,26 @@
 func (e *experts) publish(model banyanplank.Model) {
 	status := model.(*rebalancer.Rebalancer).Status(time.Now())
 	e.status.Store(&status)
+	if !status.IsCoordinator() {
+		return
+	}
+	label := fmt.Sprintf(`{group=%q}`, e.daemon.member.Group)
+	metrics.GetOrCreateGauge("banyanplank_group_map"+label, nil).Set(float64(status.Map))
+	if len(status.Skew) > 0 {
+		metrics.GetOrCreateGauge("banyanplank_group_skew"+label, nil).Set(status.Skew[len(status.Skew)-1])
+	}
+}
+
+// countStall shows a stall in the metrics.
+func (e *experts) countStall(c rebalancer.StallCmd) {
+	label := fmt.Sprintf(`{group=%q,rank="%d",kind=%q}`, e.daemon.member.Group, c.Stall.Rank, c.Stall.Kind)
+	stalled := metrics.GetOrCreateGauge("banyanplank_rank_stalled"+label, nil)
+	if c.Ended {
+		stalled.Set(0)
+		return
+	}
+	stalled.Set(1)
+	metrics.GetOrCreateCounter("banyanplank_rank_stalls_total" + label).Inc()
 }
 
 // follow tells the coordinator of the lease, the declaration and the ranks.
@@ -264,6 +286,7 @@
 		e.daemon.logger.Info().Str("group", group).Str("kind", string(c.Kind)).Uint64("fence", c.Fence).
 			Uint64("map", uint64(c.Map)).Err(c.Err).Msg("map_event")
 	case rebalancer.StallCmd:
+		e.countStall(c)
 		e.daemon.logger.Warn().Str("group", group).Int("rank", c.Stall.Rank).Str("kind", string(c.Stall.Kind)).
 			Bool("lasting", c.Stall.Lasting).Bool("ended", c.Ended).Msg("rank_stall")
 	case rebalancer.PlannedCmd:
--- a/daemon/experts_test.go
+++ b/daemon/experts_test.go
@@ -127,6 +127,8 @@
 	code, picture := g.get(t, 0, "/v1/group/picture")
 	is.Equal(code, http.StatusOK)
 	is.True(strings.Contains(picture, "Load per rank of g"))
+	_, page := g.get(t, 0, "/metrics")
+	is.True(strings.Contains(page, `banyanplank_group_map{group="g"} 1`))
 	code, _ = g.get(t, 1, "/v1/group")
 	is.Equal(code, http.StatusNotFound) // holds no lease
 }
