Ask an agent that admitted nothing again after a second

Cause: about a third of the runs of TestStoreOutage, six at a time, did not come up within 10 s: "no endpoint of the service takes new work". An entry that met the agent before the agent had news of its configuration took the word "closed" from the refusal and believed it for 10 s. Reports come with answers only, so nothing told it that the agent had opened. Ruled out: the spreading, which had both daemons fresh a second after that refusal.

Change: the picker believes "closed" for one second. Leaving agents and zones that are out are excluded by membership and configuration, not by this word.

Conclusion: fixed at the cost of one refused attempt a second for each entry and closed agent.

--- a/coordination/picker/endpoint.go
+++ b/coordination/picker/endpoint.go
@@ -38,6 +38,9 @@
 	freshTime = 2 * time.Second
 	// staleTime is the age at which a report no longer counts.
 	staleTime = 10 * time.Second
+	// closedTime is how long an agent that admits nothing is left alone. Reports
+	// come with answers only, so one request must ask whether it has opened.
+	closedTime = time.Second
 	// biasTime is how long it takes for what was learned of wrong predictions
 	// to fade to an e-th.
 	biasTime = 10 * time.Second
@@ -81,7 +84,7 @@
 
 // isUsable reports whether new work may go to the endpoint.
 func (e *endpoint) isUsable(now time.Time) bool {
-	isClosed := e.report.Closed && e.freshness(now) > 0
+	isClosed := e.report.Closed && now.Sub(e.reported) < closedTime
 	return !isClosed && !now.Before(e.avoided)
 }
 
--- a/coordination/picker/picker_test.go
+++ b/coordination/picker/picker_test.go
@@ -70,6 +70,22 @@
 	return chosen
 }
 
+// TestClosedAgentIsAskedAgain lets the only agent refuse once, as one does that
+// has no news yet at its start.
+func TestClosedAgentIsAskedAgain(t *testing.T) {
+	is := is.New(t)
+	p := newPicker(agent("only", "a"))
+	closed := report("only", 1)
+	closed.Closed = true
+	p.Observe(epoch, closed)
+	_, err := p.Pick(epoch.Add(closedTime-time.Millisecond), chatting(10))
+	var refusal *banyanplank.Refusal
+	is.True(errors.As(err, &refusal))
+	is.Equal(refusal.Reason, banyanplank.ReasonNoEndpoint)
+	_, err = p.Pick(epoch.Add(closedTime), chatting(10))
+	is.NoErr(err)
+}
+
 func TestPickAvoids(t *testing.T) {
 	closed := report("bad", 1)
 	closed.Closed = true
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -102,17 +103,17 @@
 	t.Helper()
 	ticker := time.NewTicker(20 * time.Millisecond)
 	defer ticker.Stop()
+	last := ""
 	for range 500 {
 		response, err := post(t, p.url(), 1)
-		if err == nil {
-			_ = response.Body.Close()
-			if response.StatusCode == http.StatusOK {
-				return
-			}
+		if err != nil {
+			last = err.Error()
+		} else if last = read(t, response); response.StatusCode == http.StatusOK {
+			return
 		}
 		<-ticker.C
 	}
-	t.Fatal("the path does not come up")
+	t.Fatal("the path does not come up: " + last)
 }
 
 func (p *path) url() string {
@@ -129,3 +130,12 @@
 	request.Header.Set("Authorization", "Bearer "+secret)
 	return http.DefaultClient.Do(request)
 }
+
+// read returns the body of a response and closes it.
+func read(t testing.TB, response *http.Response) (body string) {
+	t.Helper()
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	is.New(t).NoErr(err)
+	return string(text)
+}
