Judge a cut by all known members when a daemon starts inside it

Cause: two daemons that were cut off together served as in an outage after one of them restarted. The restarted one took its only partner for the whole fleet, since the others were gone in the partner's view.

Change: a daemon that never had a recent proof samples all members that its peer told of, gone ones included; members that left as planned are not counted and forgotten after 10 minutes. Digests carry at most four updates, sent fewer times. Three members of a zone watch, and a proof lasts 10 s.

--- a/coordination/spreader/doc.go
+++ b/coordination/spreader/doc.go
@@ -11,6 +11,6 @@
 // their names: connections stay open, every member is watched by as many
 // others, and the rings together spread news in a few hops. A digest has a
 // bounded size. It carries changes of members, and the revision: whoever is
-// behind fetches the changed shards from whoever is ahead. Two members of each
-// availability zone, chosen by a hash, watch the object API for all others.
+// behind fetches the changed shards from whoever is ahead. Three members of
+// each availability zone, chosen by a hash, watch the object API for all others.
 package spreader
--- a/coordination/spreader/exchange.go
+++ b/coordination/spreader/exchange.go
@@ -194,7 +194,7 @@
 			record := r.record
 			record.Member.State = banyanplank.MemberGone
 			m.put(record)
-		case r.record.Member.State == banyanplank.MemberGone && age >= tombstoneAge:
+		case r.record.Member.State == banyanplank.MemberGone && (age >= tombstoneAge || r.left && age >= leftAge):
 			m.table.forget(r.record.Member.ID)
 		}
 	}
@@ -256,6 +256,7 @@
 	m.proof = at
 	if m.now.Sub(at) <= FreshFor/2 {
 		m.resample()
+		m.reach.proved = true
 	}
 }
 
--- a/coordination/spreader/fetch.go
+++ b/coordination/spreader/fetch.go
@@ -115,6 +115,9 @@
 		}
 		m.table.put(record, m.now)
 	}
+	if !m.reach.proved {
+		m.sampleAll()
+	}
 }
 
 // arrived takes in parts of a newer revision and puts it in force when it is
--- a/coordination/spreader/reach.go
+++ b/coordination/spreader/reach.go
@@ -26,6 +26,8 @@
 // makes a small sample a larger one.
 type reach struct {
 	sample []*row
+	// proved tells that the sample was taken at a proof.
+	proved bool
 	// members counts those that were there at the last proof, and those that
 	// joined since.
 	members int
@@ -81,6 +83,20 @@
 	m.reach.members = m.table.up
 }
 
+// sampleAll makes the sample from all members that a peer told of, gone ones
+// included. A daemon that starts while nobody has a proof cannot know whether
+// those are dead or out of its and the peer's reach.
+func (m *Model) sampleAll() {
+	stayed := func(r *row) bool { return !r.left }
+	m.reach.sample = m.table.successors(stayed)
+	m.reach.members = 0
+	for _, r := range m.table.rows {
+		if stayed(r) {
+			m.reach.members++
+		}
+	}
+}
+
 // partners returns the members to exchange with: the neighbors and the sample.
 func (m *Model) partners() (partners []*row) {
 	partners = slices.Clone(m.table.next())
--- a/coordination/spreader/snapshot.go
+++ b/coordination/spreader/snapshot.go
@@ -11,7 +11,7 @@
 const (
 	// FreshFor is how long a proof that the revision is the accepted one lets
 	// a daemon serve.
-	FreshFor = 8 * time.Second
+	FreshFor = 10 * time.Second
 	// ContactFor is how long word from a peer lets a daemon serve while nobody
 	// has news from the object API.
 	ContactFor = 5 * time.Second
--- a/coordination/spreader/table.go
+++ b/coordination/spreader/table.go
@@ -18,12 +18,14 @@
 	// buckets is the number of parts whose hashes are compared.
 	buckets = 64
 	// updateLimit bounds the news in a digest, in records.
-	updateLimit = 8
+	updateLimit = 4
 	// repairLimit bounds the records that repair a difference, in one digest.
 	repairLimit = 32
 	// tombstoneAge is how long a gone member is remembered. It outlives the
-	// loss of a region.
+	// loss of a region. A member that left as planned is remembered for
+	// leftAge, until no late message speaks of it.
 	tombstoneAge = 24 * time.Hour
+	leftAge      = 10 * time.Minute
 )
 
 // row is one member in a [table].
@@ -134,7 +136,7 @@
 // spreadCount returns how often news goes out, so that it reaches everyone
 // with high probability.
 func (t *table) spreadCount() (count int) {
-	return 3 * bits.Len(uint(len(t.rows)))
+	return 4 + bits.Len(uint(len(t.rows)))
 }
 
 // forget removes a gone member.
@@ -202,11 +204,17 @@
 	return records[:min(len(records), 2*repairLimit)]
 }
 
-// next returns the neighbors: the successor on each ring, without repetition.
+// next returns the neighbors: the next member on each ring that is not gone.
 func (t *table) next() (neighbors []*row) {
-	if t.neighbors != nil {
-		return t.neighbors
+	if t.neighbors == nil {
+		t.neighbors = t.successors((*row).isUp)
 	}
+	return t.neighbors
+}
+
+// successors returns the next member on each ring that qualifies, without
+// repetition.
+func (t *table) successors(qualifies func(*row) bool) (successors []*row) {
 	self := t.rows[t.self]
 	var nearest [rings]*row
 	var distance [rings]uint64
@@ -214,7 +222,7 @@
 		distance[i] = math.MaxUint64
 	}
 	for id, r := range t.rows {
-		if id == t.self || !r.isUp() {
+		if id == t.self || !qualifies(r) {
 			continue
 		}
 		for ring := range rings {
@@ -223,13 +231,13 @@
 			}
 		}
 	}
-	t.neighbors = []*row{}
+	successors = []*row{}
 	for _, r := range nearest {
-		if r != nil && !slices.Contains(t.neighbors, r) {
-			t.neighbors = append(t.neighbors, r)
+		if r != nil && !slices.Contains(successors, r) {
+			successors = append(successors, r)
 		}
 	}
-	return t.neighbors
+	return successors
 }
 
 // ordered returns all rows in name order.
--- a/coordination/spreader/watch.go
+++ b/coordination/spreader/watch.go
@@ -10,7 +10,7 @@
 const (
 	// watchersPerZone is the number of members of an availability zone that
 	// watch the object API.
-	watchersPerZone = 2
+	watchersPerZone = 3
 	// watchRing is the ring whose order chooses the watchers.
 	watchRing = 1
 	// proofInterval is the time between two reads that prove the revision.
