--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -55,6 +55,7 @@
 	})
 	router.GET("/v1/status", d.serveStatus)
 	router.GET("/v1/tally", d.serveTally)
+	d.groupRoutes(router)
 	return router
 }
 
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -5,8 +5,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc/pool"
+
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/runner"
+	"github.com/banyanplank/banyanplank/state/holder"
+	"github.com/banyanplank/banyanplank/state/recorder"
 	"github.com/banyanplank/banyanplank/transport/invoker"
 )
 
@@ -23,7 +27,11 @@
 	daemon   *Daemon
 	endpoint banyanplank.Endpoint
 	admitter banyanplank.Admitter
+	held     *holder.Holder
+	records  *recorder.Recorder
 	runner   *runner.Runner
+	// experts is nil for an endpoint that works alone.
+	experts *experts
 	// following counts the entries that follow an answer.
 	following atomic.Int64
 	known     atomic.Bool
@@ -33,7 +41,12 @@
 	guard, endpoint := newGuard(d.settings, d.member, invoker.New(d.settings.Endpoint.Address))
 	admits := newMeasured(guard, d.settings.Name, d.logger)
 	a = &agent{daemon: d, endpoint: endpoint, admitter: gate{Admitter: admits, serves: d.serves}}
-	a.runner = newRunner(d, a.endpoint, a.admitter)
+	a.held = newHolder(d)
+	a.records = recorder.New(d.member.ID, d.member.Incarnation)
+	a.runner = runner.New(a.endpoint, a.admitter, a.records, runner.WithHolder(a.held))
+	if a.experts, err = newExperts(d, a.endpoint, d.lease); err != nil {
+		return nil, err
+	}
 	return a, d.listener.HandleCalls(a)
 }
 
@@ -52,17 +65,32 @@
 // Load implements [listener.Runner].
 func (a *agent) Load() (report banyanplank.LoadReport) { return a.admitter.Load() }
 
-// serve observes the endpoint until ctx ends.
+// serve observes the endpoint, and takes part in its group of ranks, until ctx
+// ends.
 func (a *agent) serve(ctx context.Context) (err error) {
+	group := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
+	group.Go(a.watch)
+	if a.experts != nil {
+		group.Go(a.experts.serve)
+	}
+	return group.Wait()
+}
+
+// watch observes the endpoint until ctx ends.
+func (a *agent) watch(ctx context.Context) (err error) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	a.observe(ctx)
+	taken := a.takeOver(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 			a.observe(ctx)
+			if taken != nil {
+				taken = a.takeOver(ctx)
+			}
 		}
 	}
 }
@@ -91,6 +119,9 @@
 	if !a.daemon.awaitIdle(ctx, a.inFlight) {
 		a.runner.Stop()
 	}
+	if err := a.handOver(ctx); err != nil {
+		a.daemon.logger.Warn().Err(err).Msg("hand_over_failed")
+	}
 }
 
 func (a *agent) inFlight() (requests int) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -39,6 +39,7 @@
 	role     role
 	spreader *spreader.Spreader
 	work     conc.WaitGroup
+	lease    GroupLease
 }
 
 // role is what an entry and an agent do differently.
@@ -70,6 +71,12 @@
 	return func(d *Daemon) { d.list = list }
 }
 
+// WithGroupLease uses lease as the lease of the agent's group of ranks. Use it
+// in tests. The default is a lease in the object API.
+func WithGroupLease(lease GroupLease) Option {
+	return func(d *Daemon) { d.lease = lease }
+}
+
 // WithLog writes the log to out. The default drops it.
 func WithLog(out io.Writer) Option {
 	return func(d *Daemon) { d.logger = NewLogger(out) }
@@ -128,6 +135,9 @@
 		return d.assembleSpreader()
 	}
 	d.dialer = dialer.New(dialer.WithTLS(config))
+	if d.lease == nil && d.member.Group != "" {
+		d.lease = newGroupLease(d.store, d.member)
+	}
 	if d.role, err = newAgent(d); err != nil {
 		return err
 	}
