Let three agents of a group stand for its lease

Cause: every agent of a group asked the object API for the lease every 4 s, 64 calls a second for a group of 256 ranks.

Change: leaser.IsCandidate picks three live members by a hash; the others make no call. A holder goes on whether it is one of them or not.

TestOnlyCandidatesCall sees no call in a minute from an agent that does not stand.

Conclusion: leases grow with the groups, not with the ranks.

--- a/coordination/leaser/lease_test.go
+++ b/coordination/leaser/lease_test.go
@@ -248,6 +248,40 @@
 	}
 }
 
+func TestOnlyCandidatesCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		var group conc.WaitGroup
+		store := platform.New()
+		first, second := store.Client(), store.Client()
+		leasers := hold(ctx, &group, first, second)
+		leasers[0].Stand(false) // a holder goes on
+		leasers[1].Stand(false)
+		calls := second.Calls().Reads()
+		time.Sleep(time.Minute)
+		is.True(leasers[0].Lease().Held(time.Now()))
+		is.Equal(second.Calls().Reads(), calls)
+		cancel()
+		group.Wait()
+	})
+}
+
+func TestCandidatesAreFew(t *testing.T) {
+	is := is.New(t)
+	var members []banyanplank.Member
+	for i := range 256 {
+		members = append(members, banyanplank.Member{ID: banyanplank.DaemonID(fmt.Sprint("agent-", i))})
+	}
+	count := 0
+	for _, m := range members {
+		if leaser.IsCandidate("group/langtang", m.ID, members) {
+			count++
+		}
+	}
+	is.Equal(count, leaser.CandidateCount)
+}
+
 func TestReleasedLeaseMovesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/coordination/leaser/leaser.go
+++ b/coordination/leaser/leaser.go
@@ -24,10 +24,13 @@
 type Leaser struct {
 	loop  *banyanplank.Loop
 	lease atomic.Pointer[Lease]
+	// idle tells that the daemon does not stand for the lease.
+	idle atomic.Bool
 }
 
-// New returns a leaser for the lease called name. It has not started. Run it
-// at a few candidates only: each calls the object API every [RenewInterval].
+// New returns a leaser for the lease called name. It has not started. Let only
+// a few daemons stand for one lease, see [IsCandidate]: each calls the object
+// API every [RenewInterval].
 //
 //	l := leaser.New(store, "group/langtang", member)
 //	if lease := l.Lease(); lease.Held(time.Now()) {
@@ -36,7 +39,7 @@
 func New(store banyanplank.ObjectStore, name string, member banyanplank.Member) (l *Leaser) {
 	l = &Leaser{}
 	l.lease.Store(&Lease{})
-	l.loop = banyanplank.NewLoop(NewModel(member), executor{store: store, name: Prefix + name},
+	l.loop = banyanplank.NewLoop(NewModel(member), executor{store: store, name: Prefix + name, stands: l.stands},
 		banyanplank.WithTick(tickInterval),
 		banyanplank.WithAfter(func(model banyanplank.Model) {
 			lease := model.(*Model).Lease()
@@ -45,6 +48,15 @@
 	return l
 }
 
+// Stand tells whether the daemon asks for the lease while it does not hold it.
+// It asks at first.
+func (l *Leaser) Stand(candidate bool) { l.idle.Store(!candidate) }
+
+// stands reports whether the daemon asks for the lease or holds it.
+func (l *Leaser) stands() (stands bool) {
+	return !l.idle.Load() || l.Lease().Held(time.Now())
+}
+
 // Run asks for the lease and renews it until ctx ends.
 func (l *Leaser) Run(ctx context.Context) (err error) { return l.loop.Run(ctx) }
 
@@ -61,14 +73,22 @@
 type executor struct {
 	store banyanplank.ObjectStore
 	name  string
+	// stands reports whether the daemon asks for the lease.
+	stands func() bool
 }
 
+// errIdle is the outcome of a read that was not made.
+var errIdle = errors.New("not a candidate for the lease")
+
 // Execute implements [banyanplank.Executor].
 func (e executor) Execute(ctx context.Context, command banyanplank.Command) (msg banyanplank.Msg) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	switch c := command.(type) {
 	case ReadCmd:
+		if !e.stands() {
+			return ReadMsg{Err: errIdle}
+		}
 		object, err := e.store.Get(ctx, e.name)
 		if errors.Is(err, banyanplank.ErrNotFound) {
 			return ReadMsg{}
--- a/daemon/lease.go
+++ b/daemon/lease.go
@@ -17,6 +17,17 @@
 	return groupLease{leaser: leaser.New(store, "group/"+string(member.Group), member)}
 }
 
+// stand lets a few of the group's agents ask for the lease.
+func (g groupLease) stand(self banyanplank.Member, members []banyanplank.Member) {
+	var peers []banyanplank.Member
+	for _, m := range members {
+		if m.Group == self.Group {
+			peers = append(peers, m)
+		}
+	}
+	g.leaser.Stand(leaser.IsCandidate(string(self.Group), self.ID, peers))
+}
+
 // Run implements [GroupLease].
 func (g groupLease) Run(ctx context.Context) (err error) { return g.leaser.Run(ctx) }
 
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -47,6 +47,9 @@
 	if d.keeper.Set(snapshot.Configuration) {
 		d.logger.Info().Uint64("revision", uint64(snapshot.Configuration.Revision)).Msg("configured")
 	}
+	if lease, ok := d.lease.(groupLease); ok {
+		lease.stand(d.member, snapshot.Members)
+	}
 	d.role.renew(time.Now(), snapshot.Members)
 }
 
