--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -135,6 +135,9 @@
 		return d.assembleSpreader()
 	}
 	d.dialer = dialer.New(dialer.WithTLS(config))
+	if d.lease == nil && d.member.Group != "" {
+		d.lease = newGroupLease(d.store, d.member)
+	}
 	if d.role, err = newAgent(d); err != nil {
 		return err
 	}
