--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -13,7 +13,7 @@
 	defaultQueue   = 1024
 	defaultBytes   = 8 << 20
 	defaultFloor   = 1
-	defaultLongest = 4096
+	defaultLongest = 1024
 )
 
 // Admitter implements [banyanplank.Admitter]. Create it with [New].
@@ -30,6 +30,8 @@
 	zoneOut  bool
 	reason   banyanplank.Reason
 	sequence uint64
+	// configuration is the newest, which is taken in once.
+	configuration *banyanplank.Configuration
 }
 
 var _ banyanplank.Admitter = (*Admitter)(nil)
@@ -82,7 +84,7 @@
 }
 
 // WithLongest sets how many tokens an answer may still grow by that an earlier
-// run of the agent started. The default is 4096.
+// run of the agent started. The default is 1024.
 func WithLongest(tokens int) Option {
 	return func(a *Admitter) { a.machine.residue.longest = tokens }
 }
@@ -123,7 +125,8 @@
 }
 
 // AdmitAlone is [Admitter.Admit] for a request beside which nothing else may
-// run. It waits until the endpoint runs nothing, and holds it whole.
+// run. It waits until the endpoint runs nothing, and holds it whole. Only its
+// deadline bounds the wait.
 func (a *Admitter) AdmitAlone(ctx context.Context, request *banyanplank.Request) (grant banyanplank.Grant, err error) {
 	return a.admit(ctx, request, true)
 }
@@ -220,6 +223,14 @@
 	w.owner.deliver()
 }
 
+// Stall tells that the answer was not read for a while, so that the times
+// between its parts no longer show the endpoint's pace.
+func (w *waiter) Stall() {
+	w.owner.mu.Lock()
+	defer w.owner.mu.Unlock()
+	w.stalled = true
+}
+
 // Release implements [banyanplank.Grant].
 func (w *waiter) Release(healthy bool) {
 	w.owner.mu.Lock()
@@ -277,15 +288,19 @@
 	a.machine.turnCold()
 }
 
-// Renew implements [banyanplank.Admitter].
+// Renew implements [banyanplank.Admitter]. A configuration that is known
+// already costs nothing.
 func (a *Admitter) Renew(configuration *banyanplank.Configuration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.machine.queue.renew(configuration.Accounts)
-	if spec, ok := configuration.ServiceNamed(a.service); ok {
-		a.machine.first = time.Duration(spec.Objective.First)
-		a.machine.limit.between = time.Duration(spec.Objective.Between)
+	if configuration == a.configuration {
+		return
 	}
+	a.configuration = configuration
+	a.machine.queue.renew(configuration.Accounts)
+	spec, _ := configuration.ServiceNamed(a.service)
+	a.machine.first = time.Duration(spec.Objective.First)
+	a.machine.limit.between = time.Duration(spec.Objective.Between)
 	a.zoneOut = a.zone != "" && configuration.IsZoneOut(a.zone)
 	a.settle()
 }
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -14,11 +13,12 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/pelletier/go-toml/v2"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/accepter"
 	"github.com/banyanplank/banyanplank/daemon"
+	"github.com/banyanplank/banyanplank/standin/loopback"
 	"github.com/banyanplank/banyanplank/standin/platform"
 	"github.com/banyanplank/banyanplank/state/loader"
 )
@@ -42,14 +42,12 @@
 	t.Cleanup(endpoint.Close)
 	p = &path{endpoint: endpoint.URL, platform: platform.New()}
 	digest := sha256.Sum256([]byte(secret))
-	text, err := toml.Marshal(banyanplank.Configuration{
+	_, err := accepter.New(p.platform).Accept(t.Context(), 0, &banyanplank.Configuration{
 		Zones:    []banyanplank.ZoneSpec{{Name: "a", Region: "r"}},
 		Services: []banyanplank.ServiceSpec{{Name: "guide", Kind: banyanplank.ServiceModel}},
 		Accounts: []banyanplank.AccountSpec{{Name: "himal", Key: hex.EncodeToString(digest[:])}},
 	})
 	is.NoErr(err)
-	_, err = p.platform.Put(t.Context(), "configuration", text, 0)
-	is.NoErr(err)
 	p.entry = newSettings(t, banyanplank.RoleEntry)
 	p.entry.Listen.Caller = freeAddress(t)
 	p.agent = newSettings(t, banyanplank.RoleAgent)
@@ -76,10 +74,9 @@
 
 func freeAddress(t testing.TB) (address netip.AddrPort) {
 	t.Helper()
-	open, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Address()
 	is.New(t).NoErr(err)
-	defer open.Close()
-	return netip.MustParseAddrPort(open.Addr().String())
+	return address
 }
 
 // start runs both daemons until the test ends and waits until the entry knows
--- a/examples/local/fleet.go
+++ b/examples/local/fleet.go
@@ -5,17 +5,17 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/accepter"
 	"github.com/banyanplank/banyanplank/daemon"
 	"github.com/banyanplank/banyanplank/standin/engine"
+	"github.com/banyanplank/banyanplank/standin/loopback"
 	"github.com/banyanplank/banyanplank/standin/platform"
 	"github.com/banyanplank/banyanplank/state/loader"
 )
@@ -79,12 +79,12 @@
 		}
 		configuration.Zones = append(configuration.Zones, spec)
 	}
-	text, err := toml.Marshal(configuration)
+	accepts := accepter.New(f.platform)
+	current, err := accepts.Current(ctx)
 	if err != nil {
 		return err
 	}
-	held, _ := f.platform.Get(ctx, "configuration")
-	_, err = f.platform.Put(ctx, "configuration", text, held.Version)
+	_, err = accepts.Accept(ctx, current.Revision, &configuration)
 	return err
 }
 
@@ -95,7 +95,7 @@
 			return err
 		}
 	}
-	caller, err := freeAddress()
+	caller, err := loopback.Address()
 	if err != nil {
 		return err
 	}
@@ -116,7 +116,7 @@
 		e.Run(ctx)
 		return nil
 	})
-	address, err := freeAddress()
+	address, err := loopback.Address()
 	if err != nil {
 		return err
 	}
@@ -150,7 +150,7 @@
 		Held:    1 << 20,
 	}
 	for _, address := range []*netip.AddrPort{&settings.Listen.Peer, &settings.Listen.Admin} {
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = loopback.Address(); err != nil {
 			return err
 		}
 	}
@@ -171,13 +171,3 @@
 	_ = f.engineGroup.Wait()
 	return err
 }
-
-// freeAddress returns a loopback address that nothing uses now.
-func freeAddress() (address netip.AddrPort, err error) {
-	open, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return address, err
-	}
-	defer open.Close()
-	return netip.ParseAddrPort(open.Addr().String())
-}
--- a/picker.go
+++ b/picker.go
@@ -27,6 +27,8 @@
 	// Models and Adapters are what the endpoint has loaded. Empty means any.
 	Models   []string
 	Adapters []string
+	// Findings are the agent's newest of requests that crash endpoints.
+	Findings []Finding
 }
 
 // Query is what a [Picker] is asked.
@@ -36,6 +38,8 @@
 	// Zone is where the asking entry is.
 	Zone   Zone
 	Demand Demand
+	// Fingerprint knows the request again. Zero means none.
+	Fingerprint Fingerprint
 	// Avoid lists daemons that this request has already tried.
 	Avoid []DaemonID
 }
--- a/rankload.go
+++ b/rankload.go
@@ -34,10 +34,19 @@
 	Map MapID `json:"map"`
 	// Step is the latest step that the rank has begun.
 	Step uint64 `json:"step"`
+	// Loading is the map whose weights are on their way.
+	Loading MapID `json:"loading,omitempty"`
 	// Prepared is the map whose weights are loaded beside those in use.
 	Prepared MapID `json:"prepared,omitempty"`
 	// Armed is the prepared map that the rank offers at its barriers.
 	Armed MapID `json:"armed,omitempty"`
+	// Arrived, Busy and Late are as in [RankLoad].
+	Arrived uint64        `json:"arrived,omitempty"`
+	Busy    time.Duration `json:"busy,omitempty"`
+	Late    time.Duration `json:"late,omitempty"`
+	// Counts holds the tokens of each slot since the map came into use or the
+	// rank booted, by layer and slot.
+	Counts []uint64 `json:"counts,omitempty"`
 }
 
 // Popularity is the demand for each expert of a group.
