Ask a closed agent again, and let only the arbiter say not run

Cause: an entry that asked an agent before that had news took its word that it was closed for 10 s, and nothing but a request brings the next report; tests that start a fleet failed now and then with no_endpoint. And when the budget for retries was used up, a second place chose the outcome, which forgot answers already delivered and keys that may have been used. Change: that an agent is closed counts for 2 s; the arbiter decides what is said without a retry.

--- a/coordination/forwarder/flow.go
+++ b/coordination/forwarder/flow.go
@@ -304,14 +304,12 @@
 	return true
 }
 
-// final returns what the caller is told when a refusal is not followed by
-// another attempt.
+// final asks the arbiter what the caller is told when there is no further
+// attempt.
 func (l *flow) final(refusal *banyanplank.Refusal) error {
-	final := *refusal
-	if l.sent || l.doubt {
-		final.Outcome = banyanplank.OutcomeUnknown
-	}
-	return &final
+	c := l.describe(refusal)
+	c.Tries = 0
+	return arbiter.Judge(c).Refusal
 }
 
 // describe states the case for the arbiter.
--- a/coordination/forwarder/scenario_test.go
+++ b/coordination/forwarder/scenario_test.go
@@ -8,6 +8,8 @@
 	"github.com/matryer/is"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/forwarder"
+	"github.com/banyanplank/banyanplank/coordination/retrier"
 )
 
 // TestScenarios causes each row of the failure table in docs/delivery.md. An
@@ -189,3 +191,44 @@
 		is.Equal(check(w, []*call{first, second}), nil)
 	})
 }
+
+// never allows no attempt after the first.
+type never struct{}
+
+func (never) Fresh(banyanplank.AccountID) {}
+
+func (never) Allow(time.Time, retrier.Attempt) (delay time.Duration, ok bool) { return 0, false }
+
+// TestNoBudgetForRetries has the arbiter say what the caller is told when the
+// budget for retries is used up.
+func TestNoBudgetForRetries(t *testing.T) {
+	tests := map[string]struct {
+		kind    callKind
+		script  map[point][]fault
+		outcome banyanplank.Outcome
+	}{
+		"agent refuses":          {script: map[point][]fault{pointAdmit: {faultRefuse}}, outcome: banyanplank.NotRun},
+		"agent refuses, key":     {kind: callClaim, script: map[point][]fault{pointAdmit: {faultRefuse}}, outcome: banyanplank.NotRun},
+		"endpoint died":          {script: map[point][]fault{pointRun: {faultDeath}}, outcome: banyanplank.OutcomeUnknown},
+		"no connection":          {script: map[point][]fault{pointOpen: {faultRefuse}}, outcome: banyanplank.NotRun},
+		"died, then refused":     {script: map[point][]fault{pointOpen: {faultNone, faultRefuse}, pointMake: {faultNone, faultDeath}}, outcome: banyanplank.OutcomeUnknown},
+		"endpoint died, streams": {script: map[point][]fault{pointMake: {faultNone, faultDeath}}, outcome: banyanplank.OutcomeUnknown},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(3, 0, nil)
+				w.script = test.script
+				w.entries = []*forwarder.Forwarder{forwarder.New(&turns{world: w}, w, forwarder.WithClaimer(w.claimer()),
+					forwarder.WithLocator(w.locate), forwarder.WithRetrier(never{}))}
+				c := &call{kind: test.kind, timeout: time.Minute}
+				prepare(w, []*call{c})
+				c.run(w)
+				w.close()
+				is.Equal(c.refusal().Outcome, test.outcome)
+				is.Equal(check(w, []*call{c}), nil)
+			})
+		})
+	}
+}
--- a/coordination/picker/endpoint.go
+++ b/coordination/picker/endpoint.go
@@ -79,9 +79,11 @@
 	return max(0, 1-float64(age-freshTime)/float64(staleTime-freshTime))
 }
 
-// isUsable reports whether new work may go to the endpoint.
+// isUsable reports whether new work may go to the endpoint. That an agent is
+// closed counts for freshTime only: nothing but a request brings the next
+// report, and an agent that is closed still refuses at little cost.
 func (e *endpoint) isUsable(now time.Time) bool {
-	isClosed := e.report.Closed && e.freshness(now) > 0
+	isClosed := e.report.Closed && now.Sub(e.reported) <= freshTime
 	return !isClosed && !now.Before(e.avoided)
 }
 
--- a/coordination/picker/picker_test.go
+++ b/coordination/picker/picker_test.go
@@ -146,6 +146,28 @@
 	is.Equal(counts(t, p, chatting(100), 1)["one"], 1)
 }
 
+// TestClosedAgentIsAskedAgain refuses while the agent's word is fresh, and asks
+// again soon after: no other message tells that it has opened.
+func TestClosedAgentIsAskedAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		after time.Duration
+		ok    bool
+	}{
+		"at once":         {after: 0},
+		"while fresh":     {after: freshTime},
+		"some time after": {after: freshTime + time.Millisecond, ok: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPicker(agent("only", "a"))
+			closed := report("only", 1)
+			closed.Closed = true
+			p.Observe(epoch, closed)
+			_, err := p.Pick(epoch.Add(c.after), chatting(100))
+			is.New(t).Equal(err == nil, c.ok)
+		})
+	}
+}
+
 func TestOwnRequestsCountAtOnce(t *testing.T) {
 	is := is.New(t)
 	p := newPicker(agent("one", "a"), agent("two", "a"))
