--- a/coordination/forwarder/flow.go
+++ b/coordination/forwarder/flow.go
@@ -96,9 +96,7 @@
 	if err != nil {
 		return err
 	}
-	if l.step < arbiter.StepAnswer {
-		l.step = arbiter.StepAnswer
-	}
+	l.step = arbiter.StepAnswer
 	if l.delivered && l.head.Status != 0 && head != l.head {
 		return &banyanplank.Refusal{
 			Outcome: banyanplank.OutcomeUnknown,
