--- a/coordination/picker/endpoint.go
+++ b/coordination/picker/endpoint.go
@@ -82,7 +82,9 @@
 	return max(0, 1-float64(age-freshTime)/float64(staleTime-freshTime))
 }
 
-// isUsable reports whether new work may go to the endpoint.
+// isUsable reports whether new work may go to the endpoint. That an agent is
+// closed counts for closedTime only: nothing but a request brings the next
+// report, and an agent that is closed still refuses at little cost.
 func (e *endpoint) isUsable(now time.Time) bool {
 	isClosed := e.report.Closed && now.Sub(e.reported) < closedTime
 	return !isClosed && !now.Before(e.avoided)
