Keep each expert map in an object of its own

Cause: a record with the places of up to four maps is 123 KB at 256 ranks, and was written twice in a switch and read by every agent that starts: some 960 bytes a second for the writes alone, on top of 2372 for orders and reports.

Change: the record only names the maps; each map is written once, before the first record that names it. The test of the loops counts like the daemon does: it had mixed the counts of two maps after a switch, which let the demand jump; it leaves out the interval of a switch now, runs twice as long, and its bounds are as before.

--- a/coordination/rebalancer/executor.go
+++ b/coordination/rebalancer/executor.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// storeTimeout bounds one call to the object API.
+	// storeTimeout bounds the calls to the object API of one command.
 	storeTimeout = 3 * time.Second
 	// orderTimeout bounds one order to an agent, its endpoint's answer included.
 	orderTimeout = 5 * time.Second
@@ -25,10 +25,10 @@
 // Executor carries out the commands of a [Rebalancer].
 type Executor struct {
 	// Group is the group of ranks, Rank the own one.
-	Group banyanplank.GroupName
-	Rank  int
-	Store banyanplank.ObjectStore
-	Peers Peers
+	Group   banyanplank.GroupName
+	Rank    int
+	Archive *switcher.Archive
+	Peers   Peers
 	// Log notes events, stalls and plans.
 	Log func(command banyanplank.Command)
 }
@@ -39,11 +39,11 @@
 	case switcher.ReadRecordCmd:
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
-		return switcher.ReadRecord(ctx, e.Store, e.Group)
+		return e.Archive.Read(ctx)
 	case switcher.WriteRecordCmd:
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
-		return switcher.WriteRecord(ctx, e.Store, c)
+		return e.Archive.Write(ctx, c)
 	case switcher.OrderCmd:
 		return e.order(ctx, c)
 	case switcher.StatusCmd:
--- a/coordination/rebalancer/executor_test.go
+++ b/coordination/rebalancer/executor_test.go
@@ -73,7 +73,7 @@
 	if m, ok := f.maps[id]; ok {
 		return m
 	}
-	msg := switcher.ReadRecord(context.Background(), f.store, "g")
+	msg := switcher.NewArchive(f.store, "g").Read(context.Background())
 	if m, ok := msg.Record.Map(id); ok {
 		f.maps[id] = m
 	}
@@ -107,24 +107,32 @@
 	return f.demand[expert] * stepTime.Seconds() / homes
 }
 
-// report sends what each rank has done since the last report.
-func (f *fleet) report(ctx context.Context, loop *banyanplank.Loop, sequence uint64, last [][]uint64) {
+// counted is what a rank had counted at a time.
+type counted struct {
+	at     time.Time
+	status banyanplank.RankStatus
+}
+
+// report sends what each rank has done since the last report under its map. A
+// rank whose map has changed since begins to count anew.
+func (f *fleet) report(ctx context.Context, loop *banyanplank.Loop, sequence uint64, last []counted) {
 	for rank := range shape.Ranks {
 		report, err := f.engines.Endpoint(rank).Report(ctx)
 		if err != nil {
 			continue
 		}
+		before, status := last[rank], *report.Rank
+		last[rank] = counted{at: time.Now(), status: status}
+		if before.status.Map != status.Map || len(before.status.Counts) != len(status.Counts) {
+			continue
+		}
 		load := banyanplank.RankLoad{
 			Group: "g", Rank: rank, Incarnation: 1, Sequence: sequence,
-			Map: report.Rank.Map, Span: time.Minute, Arrived: report.Rank.Arrived,
+			Map: status.Map, Span: time.Since(before.at), Arrived: status.Arrived,
 		}
-		for i, count := range report.Rank.Counts {
-			if len(last[rank]) == len(report.Rank.Counts) && last[rank][i] <= count {
-				count -= last[rank][i]
-			}
-			load.Tokens = append(load.Tokens, uint32(count))
+		for i, count := range status.Counts {
+			load.Tokens = append(load.Tokens, uint32(count-before.status.Counts[i]))
 		}
-		last[rank] = report.Rank.Counts
 		received, err := orderer.ToLoad(orderer.FromLoad(load))
 		if err == nil {
 			loop.Send(ctx, rebalancer.LoadMsg{Load: received})
@@ -142,7 +150,7 @@
 		is.NoErr(err)
 		var latest rebalancer.Status
 		var mutex sync.Mutex
-		executor := rebalancer.Executor{Group: "g", Store: f.store, Peers: f, Log: func(banyanplank.Command) {}}
+		executor := rebalancer.Executor{Group: "g", Archive: switcher.NewArchive(f.store, "g"), Peers: f, Log: func(banyanplank.Command) {}}
 		loop := banyanplank.NewLoop(rebalancer.New(spec(), f.maps[1], coordinator), executor,
 			banyanplank.WithTick(250*time.Millisecond),
 			banyanplank.WithAfter(func(model banyanplank.Model) {
@@ -157,8 +165,8 @@
 			group.Go(agent.Run)
 		}
 		loop.Send(ctx, switcher.LeaseMsg{Fence: 1, Until: time.Now().Add(time.Hour)})
-		last := make([][]uint64, shape.Ranks)
-		for n := range uint64(10 * time.Minute / stepTime) {
+		last := make([]counted, shape.Ranks)
+		for n := range uint64(20 * time.Minute / stepTime) {
 			time.Sleep(stepTime)
 			f.step()
 			if n%uint64(time.Minute/stepTime) == 0 {
@@ -185,11 +193,11 @@
 		heaviest = max(heaviest, load)
 	}
 	is.True(heaviest < 1.1)
-	is.Equal(len(f.uses), int(10*time.Minute/stepTime))
+	is.Equal(len(f.uses), int(20*time.Minute/stepTime))
 	for _, maps := range f.uses {
 		is.Equal(len(maps), 1)
 	}
-	msg := switcher.ReadRecord(context.Background(), f.store, "g")
+	msg := switcher.NewArchive(f.store, "g").Read(context.Background())
 	is.NoErr(msg.Err)
 	is.Equal(msg.Record.Current, status.Map)
 	is.Equal(msg.Record.Fence, uint64(1))
--- a/coordination/switcher/agent.go
+++ b/coordination/switcher/agent.go
@@ -11,34 +11,11 @@
 	"github.com/banyanplank/banyanplank/protocol/orderer"
 )
 
-// RecordPrefix begins the names of the objects that hold groups' records.
-const RecordPrefix = "maps/"
-
-// ReadRecord reads the record of a group.
-func ReadRecord(ctx context.Context, store banyanplank.ObjectStore, group banyanplank.GroupName) (msg RecordMsg) {
-	object, err := store.Get(ctx, RecordPrefix+string(group))
-	if err != nil {
-		return RecordMsg{Err: err}
-	}
-	record, err := DecodeRecord(object.Value)
-	return RecordMsg{Record: record, Version: object.Version, Err: err}
-}
-
-// WriteRecord carries the command out.
-func WriteRecord(ctx context.Context, store banyanplank.ObjectStore, command WriteRecordCmd) (msg RecordMsg) {
-	value, err := EncodeRecord(command.Record)
-	if err != nil {
-		return RecordMsg{Err: err}
-	}
-	version, err := store.Put(ctx, RecordPrefix+string(command.Record.Group), value, command.Expect)
-	return RecordMsg{Record: command.Record, Version: version, Err: err}
-}
-
 // Agent runs the [Gate] of one rank and serves orders for it. Its methods may
 // be called from many goroutines.
 type Agent struct {
 	group    banyanplank.GroupName
-	store    banyanplank.ObjectStore
+	archive  *Archive
 	endpoint banyanplank.Endpoint
 	loop     *banyanplank.Loop
 	calls    atomic.Uint64
@@ -56,7 +33,7 @@
 	endpoint banyanplank.Endpoint,
 	check func(banyanplank.Order) error,
 ) *Agent {
-	a := &Agent{group: group, store: store, endpoint: endpoint, waiting: make(map[uint64]chan AnswerCmd)}
+	a := &Agent{group: group, archive: NewArchive(store, group), endpoint: endpoint, waiting: make(map[uint64]chan AnswerCmd)}
 	a.loop = banyanplank.NewLoop(NewGate(WithCheck(check)), a)
 	return a
 }
@@ -116,7 +93,7 @@
 func (a *Agent) Execute(ctx context.Context, command banyanplank.Command) (msg banyanplank.Msg) {
 	switch c := command.(type) {
 	case ReadRecordCmd:
-		return ReadRecord(ctx, a.store, a.group)
+		return a.archive.ReadFence(ctx)
 	case PassCmd:
 		return a.pass(ctx, c)
 	case AnswerCmd:
--- a/coordination/switcher/encode.go
+++ b/coordination/switcher/encode.go
@@ -8,8 +8,8 @@
 	"github.com/banyanplank/banyanplank/protocol/orderer"
 )
 
-// EncodeRecord returns the bytes of a group's record.
-func EncodeRecord(record Record) (value []byte, err error) {
+// encodeRecord returns the bytes of a record, without the places of its maps.
+func encodeRecord(record Record) (value []byte, err error) {
 	message := &orderer.Record{
 		Group:   string(record.Group),
 		Fence:   record.Fence,
@@ -17,32 +17,40 @@
 		Pending: uint64(record.Pending),
 	}
 	for _, m := range record.Maps {
-		message.Maps = append(message.Maps, orderer.FromMap(m))
+		message.Kept = append(message.Kept, uint64(m.ID))
 	}
 	return proto.Marshal(message)
 }
 
-// DecodeRecord returns the record of the bytes.
-func DecodeRecord(value []byte) (record Record, err error) {
-	defer func() { err = errors.Wrap(err, "record of expert maps") }()
+// decodeRecord returns the record of the bytes, and the ids of its maps.
+func decodeRecord(value []byte) (record Record, kept []banyanplank.MapID, err error) {
 	message := &orderer.Record{}
 	if err := proto.Unmarshal(value, message); err != nil {
-		return Record{}, err
+		return Record{}, nil, errors.Wrap(err, "record of expert maps")
 	}
-	record = Record{
+	for _, id := range message.Kept {
+		kept = append(kept, banyanplank.MapID(id))
+	}
+	return Record{
 		Group:   banyanplank.GroupName(message.Group),
 		Fence:   message.Fence,
 		Current: banyanplank.MapID(message.Current),
 		Pending: banyanplank.MapID(message.Pending),
+	}, kept, nil
+}
+
+// encodeMap returns the bytes of a map.
+func encodeMap(m banyanplank.ExpertMap) (value []byte, err error) {
+	return proto.Marshal(orderer.FromMap(m))
+}
+
+// decodeMap returns the checked map of the bytes.
+func decodeMap(value []byte) (m banyanplank.ExpertMap, err error) {
+	message := &orderer.Map{}
+	if err := proto.Unmarshal(value, message); err != nil {
+		return m, errors.Wrap(err, "expert map")
 	}
-	for _, encoded := range message.Maps {
-		m, err := orderer.ToMap(encoded)
-		if err != nil {
-			return Record{}, err
-		}
-		record.Maps = append(record.Maps, m)
-	}
-	return record, nil
+	return orderer.ToMap(message)
 }
 
 // refusals lists the errors of a gate that have a message.
--- a/daemon/experts.go
+++ b/daemon/experts.go
@@ -200,11 +200,11 @@
 		return err
 	}
 	executor := rebalancer.Executor{
-		Group: spec.Name,
-		Rank:  e.daemon.member.Rank,
-		Store: e.daemon.store,
-		Peers: orders{e},
-		Log:   e.log,
+		Group:   spec.Name,
+		Rank:    e.daemon.member.Rank,
+		Archive: switcher.NewArchive(e.daemon.store, spec.Name),
+		Peers:   orders{e},
+		Log:     e.log,
 	}
 	loop := banyanplank.NewLoop(rebalancer.New(spec, initial, coordinator), executor,
 		banyanplank.WithTick(coordinatorTick),
