--- /dev/null
+++ b/coordination/aggregator/stall_test.go
@@ -0,0 +1,98 @@
+package aggregator_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/aggregator"
+)
+
+type stepCost aggregator.StepCost
+
+// step returns the time of a healthy rank with the load of the report.
+func (c stepCost) step(r *banyanplank.RankLoad) time.Duration {
+	tokens := 0.0
+	for _, t := range r.Tokens {
+		tokens += float64(t) / r.Span.Seconds() / c.Steps
+	}
+	return c.Fixed + time.Duration(tokens*float64(c.Token))
+}
+
+func TestStallsAreNamed(t *testing.T) {
+	demand := []float64{1000, 1000, 1000, 1000, 1000, 1000}
+	cost := stepCost{Fixed: 10 * time.Millisecond, Token: 100 * time.Microsecond, Steps: 20}
+	tests := map[string]struct {
+		report func(rank, n int, r *banyanplank.RankLoad) (sent bool)
+		want   []aggregator.Stall
+	}{
+		"nobody": {func(int, int, *banyanplank.RankLoad) bool { return true }, nil},
+		"one keeps the others waiting": {func(rank, n int, r *banyanplank.RankLoad) bool {
+			if rank == 2 && n == 9 {
+				r.Late = 5 * time.Second
+			}
+			return true
+		}, []aggregator.Stall{{Rank: 2, Kind: aggregator.Stalled, Since: start.Add(9*time.Minute - 5*time.Second)}}},
+		"one keeps them waiting for long": {func(rank, n int, r *banyanplank.RankLoad) bool {
+			if rank == 2 && n == 9 {
+				r.Late = 40 * time.Second
+			}
+			return true
+		}, []aggregator.Stall{{Rank: 2, Kind: aggregator.Stalled, Since: start.Add(9*time.Minute - 40*time.Second), Lasting: true}}},
+		"one is behind without a word of it": {func(rank, n int, r *banyanplank.RankLoad) bool {
+			if rank == 1 {
+				r.Arrived = uint64(min(n, 8))
+			}
+			return true
+		}, []aggregator.Stall{{Rank: 1, Kind: aggregator.Stalled, Since: start.Add(8 * time.Minute), Lasting: true}}},
+		"one is silent": {func(rank, n int, _ *banyanplank.RankLoad) bool { return rank != 3 || n < 5 },
+			[]aggregator.Stall{{Rank: 3, Kind: aggregator.Silent, Since: start.Add(4 * time.Minute), Lasting: true}}},
+		"one is slow": {func(rank, _ int, r *banyanplank.RankLoad) bool {
+			r.Busy = cost.step(r)
+			if rank == 0 {
+				r.Busy *= 2
+			}
+			return true
+		}, []aggregator.Stall{{Rank: 0, Kind: aggregator.Slow, Since: start.Add(9 * time.Minute), Speed: 0.5}}},
+		"one was slow once": {func(rank, n int, r *banyanplank.RankLoad) bool {
+			r.Busy = cost.step(r)
+			if rank == 0 && n == 9 {
+				r.Busy *= 2
+			}
+			return true
+		}, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := newMap(t, 1)
+			a := aggregator.New(m, aggregator.WithStepCost(aggregator.StepCost(cost)))
+			now := start
+			for n := range 10 {
+				now = start.Add(time.Duration(n) * time.Minute)
+				for rank := range shape.Ranks {
+					report := reportOf(m, rank, uint64(n+1), demand)
+					report.Arrived = uint64(n)
+					if test.report(rank, n, &report) {
+						is.NoErr(a.Observe(now, report))
+					}
+				}
+			}
+			got := a.Stalls(now)
+			is.Equal(len(got), len(test.want))
+			for i := range got {
+				if test.want[i].Kind == aggregator.Slow {
+					is.True(math.Abs(got[i].Speed-test.want[i].Speed) < 0.2)
+					got[i].Speed = test.want[i].Speed
+				}
+				is.Equal(got[i], test.want[i])
+				speed, excluded := aggregator.RankOf(got[i].Rank, got)
+				is.Equal(excluded, test.want[i].Lasting)
+				is.Equal(speed < 1, got[i].Kind == aggregator.Slow)
+			}
+		})
+	}
+}
--- a/daemon/experts.go
+++ b/daemon/experts.go
@@ -13,7 +13,6 @@
 
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/aggregator"
-	"github.com/banyanplank/banyanplank/coordination/leaser"
 	"github.com/banyanplank/banyanplank/coordination/planner"
 	"github.com/banyanplank/banyanplank/coordination/rebalancer"
 	"github.com/banyanplank/banyanplank/coordination/switcher"
@@ -44,18 +43,6 @@
 	Fence(now time.Time) (fence uint64, held bool)
 }
 
-// leasePrefix begins the names of the leases of groups.
-const leasePrefix = "group/"
-
-// storeLease is a group's lease in the platform's object API.
-type storeLease struct{ *leaser.Leaser }
-
-// Fence implements [GroupLease].
-func (l storeLease) Fence(now time.Time) (fence uint64, held bool) {
-	lease := l.Lease()
-	return lease.Fence, lease.Held(now)
-}
-
 // experts is what an agent does for the expert maps of its group.
 type experts struct {
 	daemon   *Daemon
@@ -74,9 +61,6 @@
 	if d.member.Group == "" {
 		return nil, nil
 	}
-	if held == nil {
-		held = storeLease{leaser.New(d.store, leasePrefix+string(d.member.Group), d.member)}
-	}
 	e = &experts{daemon: d, endpoint: endpoint, lease: held, thinner: aggregator.NewThinner(time.Now())}
 	e.agent = switcher.NewAgent(d.member.Group, d.store, endpoint, e.check)
 	return e, orderer.DRPCRegisterOrders(d.listener.Mux(), e)
