Keep the coordinator's ticks cheap

Cause: every message made the coordinator add up the load of all ranks for its status, and the declaration and the members were sent four times a second.

Change: loads are added up once in a round or for a new map; declaration and members are sent every two seconds.

--- a/coordination/rebalancer/rebalancer.go
+++ b/coordination/rebalancer/rebalancer.go
@@ -101,6 +101,9 @@
 	plan       planner.Plan
 	planErr    error
 	history    []float64
+	// loads are the loads of the ranks under the map loadsOf.
+	loads   []float64
+	loadsOf banyanplank.MapID
 	// before and after are the loads of the ranks around the latest plan that
 	// moved experts.
 	before []float64
@@ -166,9 +169,15 @@
 	}
 	r.aggregator.Switch(current)
 	commands = r.noteStalls(now)
-	if now.Sub(r.rounded) >= r.interval {
+	due := now.Sub(r.rounded) >= r.interval
+	if due {
 		r.rounded = now
 		r.popularity, r.demandErr = r.aggregator.Round(now)
+	}
+	if due || r.loadsOf != current.ID {
+		r.loads, r.loadsOf = rankLoads(current, r.popularity), current.ID
+	}
+	if due {
 		commands = append(commands, r.ask(now, current, r.asked || !r.isHeld(now))...)
 	} else if r.asked {
 		commands = append(commands, r.ask(now, current, true)...)
--- a/coordination/rebalancer/status.go
+++ b/coordination/rebalancer/status.go
@@ -93,7 +93,7 @@
 	}
 	if current, ok := r.coordinator.Current(); ok {
 		status.Map = current.ID
-		status.Loads = rankLoads(current, r.popularity)
+		status.Loads = r.loads
 	}
 	return status
 }
--- a/daemon/experts.go
+++ b/daemon/experts.go
@@ -25,6 +25,9 @@
 	coordinatorCandidates = 3
 	// coordinatorTick is the interval of the coordinator's clock.
 	coordinatorTick = 250 * time.Millisecond
+	// placesInterval is the time between two looks at the declaration and the
+	// members.
+	placesInterval = 2 * time.Second
 	// loadInterval is the time between two looks at the rank's load.
 	loadInterval = time.Second
 	// leaseStretch is how long the coordinator may act on one look at the lease.
@@ -232,6 +235,7 @@
 
 // follow tells the coordinator of the lease, the declaration and the ranks.
 func (e *experts) follow(ctx context.Context, loop *banyanplank.Loop, ranks int, ticker *time.Ticker) {
+	var told time.Time
 	for {
 		now := time.Now()
 		if fence, held := e.lease.Fence(now); held {
@@ -239,10 +243,10 @@
 		} else {
 			loop.Send(ctx, switcher.LeaseLostMsg{})
 		}
-		if spec, ok := e.spec(); ok {
-			loop.Send(ctx, rebalancer.GroupMsg{Spec: spec})
+		if now.Sub(told) >= placesInterval {
+			told = now
+			e.tellPlaces(ctx, loop, ranks)
 		}
-		loop.Send(ctx, rebalancer.RanksMsg{Ranks: e.places(ranks)})
 		select {
 		case <-ctx.Done():
 			return
@@ -251,6 +255,14 @@
 	}
 }
 
+// tellPlaces tells the coordinator of the declaration and of the ranks.
+func (e *experts) tellPlaces(ctx context.Context, loop *banyanplank.Loop, ranks int) {
+	if spec, ok := e.spec(); ok {
+		loop.Send(ctx, rebalancer.GroupMsg{Spec: spec})
+	}
+	loop.Send(ctx, rebalancer.RanksMsg{Ranks: e.places(ranks)})
+}
+
 // places returns where the ranks run.
 func (e *experts) places(ranks int) (places []planner.Rank) {
 	places = make([]planner.Rank, ranks)
