--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -37,9 +37,9 @@
 	listener *listener.Listener
 	tallier  *tallier.Tallier
 	role     role
+	lease    GroupLease
 	spreader *spreader.Spreader
 	work     conc.WaitGroup
-	lease    GroupLease
 }
 
 // role is what an entry and an agent do differently.
--- a/daemon/experts.go
+++ b/daemon/experts.go
@@ -20,9 +20,6 @@
 )
 
 const (
-	// coordinatorCandidates is how many agents of a group ask for its lease:
-	// those of the first ranks.
-	coordinatorCandidates = 3
 	// coordinatorTick is the interval of the coordinator's clock.
 	coordinatorTick = 250 * time.Millisecond
 	// placesInterval is the time between two looks at the declaration and the
@@ -75,10 +72,8 @@
 	group := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
 	group.Go(e.agent.Run)
 	group.Go(e.reportLoads)
-	if e.daemon.member.Rank < coordinatorCandidates {
-		group.Go(e.lease.Run)
-		group.Go(e.coordinate)
-	}
+	group.Go(e.lease.Run)
+	group.Go(e.coordinate)
 	return group.Wait()
 }
 
