--- a/daemon/experts.go
+++ b/daemon/experts.go
@@ -22,6 +22,9 @@
 const (
 	// coordinatorTick is the interval of the coordinator's clock.
 	coordinatorTick = 250 * time.Millisecond
+	// placesInterval is the time between two looks at the declaration and the
+	// members.
+	placesInterval = 2 * time.Second
 	// loadInterval is the time between two looks at the rank's load.
 	loadInterval = time.Second
 	// leaseStretch is how long the coordinator may act on one look at the lease.
@@ -179,11 +182,11 @@
 		return err
 	}
 	executor := rebalancer.Executor{
-		Group: spec.Name,
-		Rank:  e.daemon.member.Rank,
-		Store: e.daemon.store,
-		Peers: orders{e},
-		Log:   e.log,
+		Group:   spec.Name,
+		Rank:    e.daemon.member.Rank,
+		Archive: switcher.NewArchive(e.daemon.store, spec.Name),
+		Peers:   orders{e},
+		Log:     e.log,
 	}
 	loop := banyanplank.NewLoop(rebalancer.New(spec, initial, coordinator), executor,
 		banyanplank.WithTick(coordinatorTick),
@@ -227,6 +230,7 @@
 
 // follow tells the coordinator of the lease, the declaration and the ranks.
 func (e *experts) follow(ctx context.Context, loop *banyanplank.Loop, ranks int, ticker *time.Ticker) {
+	var told time.Time
 	for {
 		now := time.Now()
 		if fence, held := e.lease.Fence(now); held {
@@ -234,10 +238,10 @@
 		} else {
 			loop.Send(ctx, switcher.LeaseLostMsg{})
 		}
-		if spec, ok := e.spec(); ok {
-			loop.Send(ctx, rebalancer.GroupMsg{Spec: spec})
+		if now.Sub(told) >= placesInterval {
+			told = now
+			e.tellPlaces(ctx, loop, ranks)
 		}
-		loop.Send(ctx, rebalancer.RanksMsg{Ranks: e.places(ranks)})
 		select {
 		case <-ctx.Done():
 			return
@@ -246,6 +250,14 @@
 	}
 }
 
+// tellPlaces tells the coordinator of the declaration and of the ranks.
+func (e *experts) tellPlaces(ctx context.Context, loop *banyanplank.Loop, ranks int) {
+	if spec, ok := e.spec(); ok {
+		loop.Send(ctx, rebalancer.GroupMsg{Spec: spec})
+	}
+	loop.Send(ctx, rebalancer.RanksMsg{Ranks: e.places(ranks)})
+}
+
 // places returns where the ranks run.
 func (e *experts) places(ranks int) (places []planner.Rank) {
 	places = make([]planner.Rank, ranks)
