--- a/coordination/switcher/coordinator.go
+++ b/coordination/switcher/coordinator.go
@@ -46,7 +46,7 @@
 	defaultLimit = 10 * time.Minute
 	// defaultPace is the orders a second, which bounds the coordinator's
 	// traffic.
-	defaultPace = 5
+	defaultPace = 3
 )
 
 // Coordinator is the control state of a group's switches. Update it from one
@@ -118,7 +118,7 @@
 }
 
 // WithPace bounds the orders and queries a second. Use the traffic that the
-// coordinator may cause over the size of an order. The default is 5.
+// coordinator may cause over the size of an order. The default is 3.
 func WithPace(orders float64) Option {
 	return func(c *Coordinator) { c.pace = orders }
 }
