Let delivered answers give way to new ones

Cause: the path benchmark stood still after some thousand calls, and with 40 callers it was refused for lack of memory at the agent. The last parts of an answer, up to the window, are never acknowledged, because the call ends with the End. For the 30 s that an ended answer is kept they counted as unread, and new answers of the account waited for their room. Ruled out: connections, which were all reused; admission, which held nothing.

Change: once an entry has been sent the whole answer of a request that may be repeated, all its parts count as acknowledged: still there for a caller who comes back, but given up first.

An agent holds what it has delivered only while it can.

--- a/coordination/runner/runner.go
+++ b/coordination/runner/runner.go
@@ -178,6 +178,10 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		return end, s.overdue()
 	}
+	if err == nil && !request.Once {
+		// A delivered answer is kept only as long as nothing needs its room.
+		s.stream.Ack(s.stream.Next())
+	}
 	return end, err
 }
 
