Be ready only with the members that are known, not with none

An entry then refused calls for about a second: go run ./examples/local failed in 4 of 4 runs (about 30,000 refusals, no_endpoint).

The example waits until each daemon knows all others, since daemons that start in the same instant may each be first.

Conclusion: found by the example, not by the in-memory fleet, whose daemons have seeds from the start.

--- a/coordination/spreader/model.go
+++ b/coordination/spreader/model.go
@@ -26,7 +26,9 @@
 	// ticked tells that the message in hand is a tick.
 	ticked bool
 	// joined tells that a peer has told all members.
-	joined   bool
+	joined bool
+	// seeded tells that the addresses of peers have been looked up.
+	seeded   bool
 	joining  bool
 	ready    bool
 	replaced bool
@@ -98,6 +100,7 @@
 	case InstancesMsg:
 		m.listed(msg)
 	case SeedsMsg:
+		m.seeded = true
 		m.addSeeds(msg.Addresses)
 	case LeaveMsg:
 		m.leave()
@@ -166,11 +169,12 @@
 	if m.ready || m.held.configuration == nil || m.fetch.heard > m.revision() {
 		return
 	}
-	patient := len(m.seeds) == 0 || m.now.Sub(m.started) >= startGrace
+	patient := m.seeded && len(m.seeds) == 0 || m.now.Sub(m.started) >= startGrace
 	m.ready = m.joined || (m.isFresh() && patient)
 }
 
-// publish makes a new snapshot. The members in it are at most one tick old.
+// publish makes a new snapshot. The members in it are at most one tick old once
+// the daemon is ready.
 func (m *Model) publish() {
 	s := &Snapshot{
 		Self: m.self.Member, Configuration: m.held.configuration,
@@ -179,7 +183,7 @@
 		proof: m.proof, contact: m.contact, behind: m.fetch.since,
 		rootValue: m.held.rootValue, values: m.held.values, log: m.held.log,
 	}
-	if m.snapshot == nil || m.table.dirty && m.ticked {
+	if m.snapshot == nil || m.table.dirty && (m.ticked || !m.snapshot.started) {
 		s.records = m.table.records()
 		s.Members = membersOf(s.records)
 		m.table.dirty = false
--- a/examples/local/show.go
+++ b/examples/local/show.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,6 +17,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/daemon"
 )
 
 const (
@@ -30,7 +32,7 @@
 // awaitReady waits until every daemon knows the configuration.
 func (f *fleet) awaitReady(ctx context.Context) (err error) {
 	for _, admin := range f.admins {
-		for !isReady(ctx, admin) {
+		for !isReady(ctx, admin, len(f.admins)) {
 			select {
 			case <-ctx.Done():
 				return ctx.Err()
@@ -42,8 +44,9 @@
 	return nil
 }
 
-func isReady(ctx context.Context, admin netip.AddrPort) (ready bool) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin.String()+"/readyz", nil)
+// isReady reports whether the daemon may take work and knows count daemons.
+func isReady(ctx context.Context, admin netip.AddrPort, count int) (ready bool) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin.String()+"/v1/status", nil)
 	if err != nil {
 		return false
 	}
@@ -52,7 +55,9 @@
 		return false
 	}
 	defer response.Body.Close()
-	return response.StatusCode == http.StatusOK
+	var status daemon.Status
+	err = json.NewDecoder(response.Body).Decode(&status)
+	return err == nil && status.Ready && len(status.Members) == count
 }
 
 // post sends one streamed chat call to the entry in zone.
