Index client accounts by their place

Change: the keeper maps the 32-byte digest to the account's place in the configuration, in place of the hexadecimal text to a copy.

--- a/state/keeper/keeper.go
+++ b/state/keeper/keeper.go
@@ -3,6 +3,7 @@
 package keeper
 
 import (
+	"encoding/hex"
 	"sync/atomic"
 
 	"github.com/banyanplank/banyanplank"
@@ -12,22 +13,38 @@
 type View struct {
 	Configuration *banyanplank.Configuration
 	services      map[banyanplank.ServiceName]banyanplank.ServiceSpec
-	accounts      map[string]banyanplank.AccountSpec
-	out           map[banyanplank.Zone]bool
+	// accounts holds places in the configuration's accounts by the digests of
+	// their keys, which takes less memory than copies do.
+	accounts map[digest]int32
+	out      map[banyanplank.Zone]bool
+}
+
+// digest is the SHA-256 digest of a client account's key.
+type digest [32]byte
+
+// parseDigest reads a digest in hexadecimal.
+func parseDigest(text string) (d digest, ok bool) {
+	if len(text) != hex.EncodedLen(len(d)) {
+		return d, false
+	}
+	_, err := hex.Decode(d[:], []byte(text))
+	return d, err == nil
 }
 
 func newView(configuration *banyanplank.Configuration) *View {
 	v := &View{
 		Configuration: configuration,
 		services:      make(map[banyanplank.ServiceName]banyanplank.ServiceSpec, len(configuration.Services)),
-		accounts:      make(map[string]banyanplank.AccountSpec, len(configuration.Accounts)),
+		accounts:      make(map[digest]int32, len(configuration.Accounts)),
 		out:           make(map[banyanplank.Zone]bool, len(configuration.Zones)),
 	}
 	for _, s := range configuration.Services {
 		v.services[s.Name] = s
 	}
-	for _, a := range configuration.Accounts {
-		v.accounts[a.Key] = a
+	for i, a := range configuration.Accounts {
+		if d, ok := parseDigest(a.Key); ok {
+			v.accounts[d] = int32(i)
+		}
 	}
 	for _, z := range configuration.Zones {
 		v.out[z.Name] = z.Out
@@ -41,11 +58,18 @@
 	return spec, ok
 }
 
-// Account returns the client account whose key has the hexadecimal SHA-256
-// digest.
-func (v *View) Account(digest string) (spec banyanplank.AccountSpec, ok bool) {
-	spec, ok = v.accounts[digest]
-	return spec, ok
+// Account returns the client account whose key has the SHA-256 digest, given
+// in hexadecimal.
+func (v *View) Account(key string) (spec banyanplank.AccountSpec, ok bool) {
+	d, ok := parseDigest(key)
+	if !ok {
+		return spec, false
+	}
+	place, ok := v.accounts[d]
+	if !ok {
+		return spec, false
+	}
+	return v.Configuration.Accounts[place], true
 }
 
 // IsZoneOut reports whether zone is out of service. A zone that is not
