--- a/cmd/banyanplank/entry_test.go
+++ b/cmd/banyanplank/entry_test.go
@@ -87,8 +87,9 @@
 
 // awaitReady polls an entry until it is ready.
 func awaitReady(ts *testscript.TestScript, admin netip.AddrPort) {
-	deadline := time.Now().Add(patience)
-	for time.Now().Before(deadline) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for range patience / pollInterval {
 		response, err := http.Get("http://" + admin.String() + "/readyz")
 		if err == nil {
 			response.Body.Close()
@@ -96,7 +97,7 @@
 				return
 			}
 		}
-		time.Sleep(pollInterval)
+		<-ticker.C
 	}
 	ts.Fatalf("the entry did not become ready in %s", patience)
 }
