Stop the half of a fleet that is cut off in time

The estimate of the members in reach, near a half for all of them, stayed above 0.55 for some. Ruled out: the age of their proofs, which had run out, and the average, which settles in about nine ticks.

Change: the estimate decides at 0.70 and 0.80. What that costs in an outage of the object API, in which a third of the members die, the count gives back once nobody is in doubt; in fleets over 128 only where the estimate agrees.

--- a/coordination/spreader/model.go
+++ b/coordination/spreader/model.go
@@ -129,6 +129,7 @@
 		m.resample()
 	}
 	m.reach.measure(m.now)
+	m.noteDoubt()
 	commands = append(commands, m.exchanges()...)
 	commands = append(commands, m.bootstrap()...)
 	commands = append(commands, m.refetch()...)
--- a/coordination/spreader/reach.go
+++ b/coordination/spreader/reach.go
@@ -1,8 +1,11 @@
 package spreader
 
 import (
+	"math"
 	"slices"
 	"time"
+
+	"github.com/banyanplank/banyanplank"
 )
 
 const (
@@ -13,8 +16,18 @@
 	// which a daemon ceases and begins to take itself to be among most of them.
 	// They are above a half because the share is an estimate, and apart so that
 	// its noise does not switch the daemon on and off.
-	reachLow  = 0.55
-	reachHigh = 0.65
+	reachLow  = 0.70
+	reachHigh = 0.80
+	// settledFor is how long no member may be in doubt before the count of
+	// those left decides, and countShare is the share that must be left. It is
+	// above a half because some may not yet be known as gone.
+	settledFor = 5 * time.Second
+	countShare = 0.6
+	// countedFleet is the most members of which the count is taken as it is. In
+	// a larger fleet some of those out of reach are found late, so the estimate
+	// must not be further from the count than agreement.
+	countedFleet = 128
+	agreement    = 0.08
 	// ownWeight is the weight of a daemon's own neighbors in its estimate.
 	ownWeight = 0.35
 )
@@ -31,6 +44,8 @@
 	// members counts those that were there at the last proof, and those that
 	// joined since.
 	members int
+	// settled is since when no member is in doubt: each is in reach or gone.
+	settled time.Time
 	value   float32
 	most    bool
 	sum     float32
@@ -66,10 +81,50 @@
 }
 
 // hasMajority reports whether the daemon can talk to most of the members that
-// were there at the last proof: the estimate tells it within seconds, and the
-// count exactly once those out of reach are gone.
+// were there at the last proof. The estimate tells it within seconds, on the
+// safe side, and the count once those out of reach are gone.
 func (m *Model) hasMajority() (has bool) {
-	return m.isAlone() || m.reach.most && 2*m.table.up > m.reach.members
+	if m.isAlone() {
+		return true
+	}
+	if m.reach.most {
+		return 2*m.table.up > m.reach.members
+	}
+	left := float64(m.table.up) / float64(max(1, m.reach.members))
+	agrees := m.reach.members <= countedFleet || math.Abs(left-float64(m.reach.value)) <= agreement
+	return m.isSettled() && agrees && left > countShare
+}
+
+// isSettled reports whether no member has been in doubt for a while.
+func (m *Model) isSettled() (settled bool) {
+	return !m.reach.settled.IsZero() && m.now.Sub(m.reach.settled) >= settledFor
+}
+
+// noteDoubt notes since when no member is in doubt.
+func (m *Model) noteDoubt() {
+	if m.inDoubt() {
+		m.reach.settled = time.Time{}
+		return
+	}
+	if m.reach.settled.IsZero() {
+		m.reach.settled = m.now
+	}
+}
+
+// inDoubt reports whether some member is suspect, or does not answer and is not
+// yet gone.
+func (m *Model) inDoubt() (doubt bool) {
+	for _, n := range m.reach.sample {
+		if n.isUp() && (n.answered.IsZero() || m.now.Sub(n.answered) > answerFor) {
+			return true
+		}
+	}
+	for _, r := range m.table.rows {
+		if r.record.Member.State == banyanplank.MemberSuspect {
+			return true
+		}
+	}
+	return false
 }
 
 // isAlone reports whether there is no other member, nor was at the last proof.
