Show where the requests of the example ran

Cause: the example's figures were alike with a zone in and out, so that it did not show what it claims.

Change: it prints how many requests each zone's engines were given in each phase.

--- a/coordination/spreader/spread_test.go
+++ b/coordination/spreader/spread_test.go
@@ -18,7 +18,7 @@
 	}{
 		"today":                {8, 19, 3, 0, 3 * time.Second},
 		"today, a third lost":  {8, 19, 3, 1.0 / 3, targetSpread},
-		"letter, a third lost": {420, 600, 7, 1.0 / 3, targetSpread},
+		"target size, a third lost": {420, 600, 7, 1.0 / 3, targetSpread},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/examples/local/show.go
+++ b/examples/local/show.go
@@ -140,11 +140,23 @@
 	return nil
 }
 
+// began counts the requests that the engines of zone were given.
+func (f *fleet) began(zone banyanplank.Zone) (requests int) {
+	for _, e := range f.engines[zone] {
+		requests += e.Began()
+	}
+	return requests
+}
+
 // load calls the entry of the first zone for a while and prints what came of
 // it.
 func (f *fleet) load(ctx context.Context, name string) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, settle)
 	defer cancel()
+	before := make(map[banyanplank.Zone]int)
+	for _, zone := range zones {
+		before[zone] = f.began(zone)
+	}
 	var seen tally
 	group := pool.New()
 	for range callers {
@@ -155,8 +167,12 @@
 		})
 	}
 	group.Wait()
-	fmt.Printf("%-16s whole=%d failed=%d first_p50=%v first_p95=%v\n", name, seen.whole, seen.failed,
+	fmt.Printf("%-16s whole=%d failed=%d first_p50=%v first_p95=%v", name, seen.whole, seen.failed,
 		seen.quantile(0.50).Round(time.Millisecond), seen.quantile(0.95).Round(time.Millisecond))
+	for _, zone := range zones {
+		fmt.Printf(" %s=%d", zone, f.began(zone)-before[zone])
+	}
+	fmt.Println()
 	if seen.failed > 0 {
 		return errors.Newf("%d calls failed while %s", seen.failed, name)
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -152,6 +152,16 @@
 	return len(e.running)
 }
 
+// Began counts the requests that the engine was given.
+func (e *Engine) Began() (requests int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, runs := range e.runs {
+		requests += runs
+	}
+	return requests
+}
+
 // Orders returns the orders that took effect.
 func (e *Engine) Orders() (orders []banyanplank.Order) {
 	e.mutex.Lock()
