Test that load reports of a group reach its coordinator

Cause: the path of a rank's load report over the network had no test, and the interval of a minute could not be shortened in one.

Change: the daemon takes the plan interval as an option, which also sets that of the reports; a test runs steps in a group of three agents until the coordinator knows the load of every rank and has no problem.

Conclusion: reports arrive; no fault of the path was found.

--- a/coordination/spreader/spread_test.go
+++ b/coordination/spreader/spread_test.go
@@ -16,8 +16,8 @@
 		loss                   float64
 		limit                  time.Duration
 	}{
-		"today":                {8, 19, 3, 0, 3 * time.Second},
-		"today, a third lost":  {8, 19, 3, 1.0 / 3, targetSpread},
+		"today":                     {8, 19, 3, 0, 3 * time.Second},
+		"today, a third lost":       {8, 19, 3, 1.0 / 3, targetSpread},
 		"target size, a third lost": {420, 600, 7, 1.0 / 3, targetSpread},
 	}
 	for name, test := range tests {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -38,6 +38,7 @@
 	tallier  *tallier.Tallier
 	role     role
 	lease    GroupLease
+	interval time.Duration
 	spreader *spreader.Spreader
 	work     conc.WaitGroup
 }
@@ -77,6 +78,12 @@
 	return func(d *Daemon) { d.lease = lease }
 }
 
+// WithPlanInterval sets the time between two plans for the experts of a group,
+// and between two full load reports. Use it in tests. The default is a minute.
+func WithPlanInterval(interval time.Duration) Option {
+	return func(d *Daemon) { d.interval = interval }
+}
+
 // WithLog writes the log to out. The default drops it.
 func WithLog(out io.Writer) Option {
 	return func(d *Daemon) { d.logger = NewLogger(out) }
@@ -90,6 +97,7 @@
 		settings: settings,
 		logger:   NewLogger(io.Discard),
 		keeper:   &keeper.Keeper{},
+		interval: planInterval,
 		member:   memberOf(settings, time.Now()),
 	}
 	d.tallier = tallier.New(d.member)
--- a/daemon/experts.go
+++ b/daemon/experts.go
@@ -27,6 +27,8 @@
 	placesInterval = 2 * time.Second
 	// loadInterval is the time between two looks at the rank's load.
 	loadInterval = time.Second
+	// planInterval is the time between two plans.
+	planInterval = time.Minute
 	// leaseStretch is how long the coordinator may act on one look at the lease.
 	leaseStretch = time.Second
 	// reportTimeout bounds one load report.
@@ -61,7 +63,7 @@
 	if d.member.Group == "" {
 		return nil, nil
 	}
-	e = &experts{daemon: d, endpoint: endpoint, lease: held, thinner: aggregator.NewThinner(time.Now())}
+	e = &experts{daemon: d, endpoint: endpoint, lease: held, thinner: aggregator.NewThinner(time.Now(), aggregator.WithInterval(d.interval))}
 	e.agent = switcher.NewAgent(d.member.Group, d.store, endpoint, e.check)
 	return e, orderer.DRPCRegisterOrders(d.listener.Mux(), e)
 }
@@ -188,7 +190,8 @@
 		Peers:   orders{e},
 		Log:     e.log,
 	}
-	loop := banyanplank.NewLoop(rebalancer.New(spec, initial, coordinator), executor,
+	model := rebalancer.New(spec, initial, coordinator, rebalancer.WithInterval(e.daemon.interval))
+	loop := banyanplank.NewLoop(model, executor,
 		banyanplank.WithTick(coordinatorTick),
 		banyanplank.WithAfter(e.publish))
 	e.loop.Store(loop)
--- a/daemon/experts_test.go
+++ b/daemon/experts_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -73,7 +74,8 @@
 		if rank == 0 {
 			held.fence = 5
 		}
-		d, err := daemon.New(settings, daemon.WithStore(store), daemon.WithInstances(store), daemon.WithGroupLease(held))
+		d, err := daemon.New(settings, daemon.WithStore(store), daemon.WithInstances(store),
+			daemon.WithGroupLease(held), daemon.WithPlanInterval(time.Second))
 		is.NoErr(err)
 		running.Go(d.Run)
 	}
@@ -156,3 +158,28 @@
 	is.Equal(report.Rank.Map, banyanplank.MapID(1)) // the current map stays
 	is.Equal(report.Rank.Prepared, banyanplank.MapID(0))
 }
+
+// TestLoadReportsReachTheCoordinator makes steps until the coordinator has
+// heard of every rank's tokens. A report that is missing would leave experts
+// without a place in its problem.
+func TestLoadReportsReachTheCoordinator(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t)
+	is.Equal(len(g.awaitIdle(t).Loads), 0)
+	tokens := func(banyanplank.MapID, int) (counts []uint64) { return []uint64{100, 100, 100, 100} }
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	var status rebalancer.Status
+	for range 1500 {
+		g.engines.Advance(tokens)
+		_, body := g.get(t, 0, "/v1/group")
+		status = rebalancer.Status{}
+		is.NoErr(json.Unmarshal([]byte(body), &status))
+		if len(status.Loads) == groupRanks && status.Problem == "" {
+			is.True(slices.Max(status.Loads) < 1.01) // all ranks run as many
+			return
+		}
+		<-ticker.C
+	}
+	t.Fatalf("the coordinator takes the loads for %v: %s", status.Loads, status.Problem)
+}
