Carry findings between entries in the message that agents use

Cause: a finding and its conversions stood twice, in carrier and in exchanger, and a new field would have had to be added in both.

Change: exchanger's Findings holds carrier's Finding, whose fields have the same numbers and types, so builds from before and after understand each other.

Conclusion: one place says what a finding is on the wire.

--- a/protocol/carrier/convert.go
+++ b/protocol/carrier/convert.go
@@ -33,7 +33,7 @@
 		Incarnation: uint64(incarnation),
 		Binding:     encodeBinding(request.Binding),
 		Join:        request.Join,
-		Findings:    encodeFindings(request.Findings),
+		Findings:    EncodeFindings(request.Findings),
 	}
 }
 
@@ -85,7 +85,7 @@
 		Revision: banyanplank.Revision(x.GetRevision()),
 		Binding:  decodeBinding(x.GetBinding()),
 		Join:     x.GetJoin(),
-		Findings: decodeFindings(x.GetFindings()),
+		Findings: DecodeFindings(x.GetFindings()),
 	}
 }
 
@@ -173,7 +173,7 @@
 		Closed:      report.Closed,
 		Models:      report.Models,
 		Adapters:    report.Adapters,
-		Findings:    encodeFindings(report.Findings),
+		Findings:    EncodeFindings(report.Findings),
 	}
 }
 
@@ -193,6 +193,6 @@
 		Closed:      x.GetClosed(),
 		Models:      x.GetModels(),
 		Adapters:    x.GetAdapters(),
-		Findings:    decodeFindings(x.GetFindings()),
+		Findings:    DecodeFindings(x.GetFindings()),
 	}
 }
--- a/protocol/carrier/finding.go
+++ b/protocol/carrier/finding.go
@@ -2,7 +2,8 @@
 
 import "github.com/banyanplank/banyanplank"
 
-func encodeFindings(findings []banyanplank.Finding) (messages []*Finding) {
+// EncodeFindings returns the messages for findings.
+func EncodeFindings(findings []banyanplank.Finding) (messages []*Finding) {
 	for _, f := range findings {
 		message := &Finding{Kind: uint32(f.Kind), Death: uint64(f.Death)}
 		for _, request := range f.Requests {
@@ -13,8 +14,9 @@
 	return messages
 }
 
-// decodeFindings leaves out findings of a kind that this build does not know.
-func decodeFindings(messages []*Finding) (findings []banyanplank.Finding) {
+// DecodeFindings returns the findings that the messages carry. It leaves out
+// findings of a kind that this build does not know.
+func DecodeFindings(messages []*Finding) (findings []banyanplank.Finding) {
 	for _, message := range messages {
 		if message.GetKind() > uint32(banyanplank.FindingCleared) {
 			continue
--- a/protocol/exchanger/convert.go
+++ b/protocol/exchanger/convert.go
@@ -8,6 +8,7 @@
 
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/limiter"
+	"github.com/banyanplank/banyanplank/protocol/carrier"
 )
 
 // NewDemand returns the message for usages at an entry.
@@ -46,32 +47,11 @@
 
 // NewFindings returns the message for findings.
 func NewFindings(findings []banyanplank.Finding) (message *Findings) {
-	message = &Findings{}
-	for _, f := range findings {
-		finding := &Finding{Kind: uint32(f.Kind), Death: uint64(f.Death)}
-		for _, request := range f.Requests {
-			finding.Requests = append(finding.Requests, uint64(request))
-		}
-		message.Findings = append(message.Findings, finding)
-	}
-	return message
+	return &Findings{Findings: carrier.EncodeFindings(findings)}
 }
 
 // List returns the findings that the message carries. It leaves out findings of
 // a kind that this build does not know.
 func (x *Findings) List() (findings []banyanplank.Finding) {
-	for _, message := range x.GetFindings() {
-		if message.GetKind() > uint32(banyanplank.FindingCleared) {
-			continue
-		}
-		f := banyanplank.Finding{
-			Kind:  banyanplank.FindingKind(message.GetKind()),
-			Death: banyanplank.DeathID(message.GetDeath()),
-		}
-		for _, request := range message.GetRequests() {
-			f.Requests = append(f.Requests, banyanplank.Fingerprint(request))
-		}
-		findings = append(findings, f)
-	}
-	return findings
+	return carrier.DecodeFindings(x.GetFindings())
 }
--- a/protocol/exchanger/convert_test.go
+++ b/protocol/exchanger/convert_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/limiter"
+	"github.com/banyanplank/banyanplank/protocol/carrier"
 	"github.com/banyanplank/banyanplank/protocol/exchanger"
 )
 
@@ -39,7 +40,7 @@
 		{Kind: banyanplank.FindingCleared, Requests: []banyanplank.Fingerprint{2}},
 	}
 	message := exchanger.NewFindings(findings)
-	message.Findings = append(message.Findings, &exchanger.Finding{Kind: 99})
+	message.Findings = append(message.Findings, &carrier.Finding{Kind: 99})
 	is.Equal(message.List(), findings)
 }
 
