--- /dev/null
+++ b/coordination/balancer/balancer.go
@@ -0,0 +1,256 @@
+package balancer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// peerAge is how old the word of a peer on its calls in flight may be. Peers
+// speak several times a second.
+const peerAge = time.Second
+
+// Option configures a [Balancer].
+type Option func(*Balancer)
+
+// WithZone prefers endpoints of zone among near equals. The default is none.
+func WithZone(zone banyanplank.Zone) Option {
+	return func(b *Balancer) { b.zone = zone }
+}
+
+// WithRandom draws choices among equals from random. The default is a source
+// with a random seed.
+func WithRandom(random *rand.Rand) Option {
+	return func(b *Balancer) { b.random = random }
+}
+
+// WithRepeats bounds repeats by share of the requests and a number for a span,
+// summed over all entries. The default is 0.2 and 40 in 10 s.
+func WithRepeats(share float64, slack int, span time.Duration) Option {
+	return func(b *Balancer) { b.share, b.slack, b.span = share, slack, span }
+}
+
+// Balancer knows the endpoints of all services. Its methods may be called from
+// many goroutines.
+type Balancer struct {
+	mutex  sync.Mutex
+	zone   banyanplank.Zone
+	random *rand.Rand
+	share  float64
+	slack  int
+	span   time.Duration
+	pools  map[banyanplank.ServiceName]*pool
+	peers  map[banyanplank.DaemonID]peerWord
+}
+
+// peerWord is what a peer said of its calls in flight.
+type peerWord struct {
+	at       time.Time
+	inFlight map[banyanplank.BackendID]int
+}
+
+// New returns a balancer that knows no endpoint.
+func New(options ...Option) *Balancer {
+	b := &Balancer{
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		share:  0.2,
+		slack:  40,
+		span:   10 * time.Second,
+		pools:  make(map[banyanplank.ServiceName]*pool),
+		peers:  make(map[banyanplank.DaemonID]peerWord),
+	}
+	for _, option := range options {
+		option(b)
+	}
+	return b
+}
+
+// Query is a call that needs an endpoint.
+type Query struct {
+	Service banyanplank.ServiceName
+	// Prompt is the length of the prompt in tokens, zero for plain calls.
+	Prompt int
+	// Goal is the time within which the answer, or its first event, is on time.
+	Goal time.Duration
+	// Priority orders the calls that wait; 0 goes first.
+	Priority int
+	// Avoid lists the endpoints that this call has already tried.
+	Avoid []banyanplank.BackendID
+	// Once tells that the call must not be repeated.
+	Once bool
+}
+
+// Fleet is what a balancer has to know of the rest of the system.
+type Fleet struct {
+	Pools    []banyanplank.PoolSpec
+	Backends []banyanplank.Backend
+	// Out lists the availability zones that get no new work.
+	Out map[banyanplank.Zone]bool
+	// Entries is the number of entries that share the endpoints.
+	Entries int
+}
+
+// Renew takes in the fleet as it is now known.
+func (b *Balancer) Renew(now time.Time, fleet Fleet) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	named := make(map[banyanplank.ServiceName]bool, len(fleet.Pools))
+	for _, spec := range fleet.Pools {
+		named[spec.Name] = true
+		p := b.pools[spec.Name]
+		if p == nil {
+			p = newPool(b, now)
+			b.pools[spec.Name] = p
+		}
+		p.renew(now, spec, fleet)
+	}
+	for name, p := range b.pools {
+		if !named[name] {
+			p.refuseAll()
+			delete(b.pools, name)
+		}
+	}
+}
+
+// Hear takes in the calls that a peer has in flight.
+func (b *Balancer) Hear(now time.Time, peer banyanplank.DaemonID, inFlight map[banyanplank.BackendID]int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.peers[peer] = peerWord{at: now, inFlight: inFlight}
+	others := make(map[banyanplank.BackendID]int)
+	for id, word := range b.peers {
+		if now.Sub(word.at) > peerAge {
+			delete(b.peers, id)
+			continue
+		}
+		for backend, n := range word.inFlight {
+			others[backend] += n
+		}
+	}
+	for _, p := range b.pools {
+		for _, s := range p.seats {
+			s.others = others[s.backend.ID]
+		}
+		p.dispatch(now)
+	}
+}
+
+// InFlight returns the own calls in flight by endpoint, for the peers.
+func (b *Balancer) InFlight() (inFlight map[banyanplank.BackendID]int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	inFlight = make(map[banyanplank.BackendID]int)
+	for _, p := range b.pools {
+		for _, s := range p.seats {
+			if s.own > 0 {
+				inFlight[s.backend.ID] = s.own
+			}
+		}
+	}
+	return inFlight
+}
+
+// Acquire returns the right to send one call to an endpoint. It waits while all
+// are busy and a place is expected in time. The error is a
+// [*banyanplank.Refusal] with [banyanplank.NotRun].
+func (b *Balancer) Acquire(ctx context.Context, query Query) (lease *Lease, err error) {
+	now := time.Now()
+	b.mutex.Lock()
+	p := b.pools[query.Service]
+	if p == nil {
+		b.mutex.Unlock()
+		return nil, refuse(banyanplank.ReasonNoEndpoint, retryUnknown, "the service is not declared")
+	}
+	lease, w, err := p.admit(now, query)
+	b.mutex.Unlock()
+	if w == nil {
+		return lease, err
+	}
+	return b.await(ctx, p, w)
+}
+
+// await waits for a place until the waiter's time is up.
+func (b *Balancer) await(ctx context.Context, p *pool, w *waiter) (lease *Lease, err error) {
+	timer := time.NewTimer(w.patience)
+	defer timer.Stop()
+	select {
+	case <-w.done:
+		return w.lease, w.err
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	select {
+	case <-w.done:
+		return w.lease, w.err
+	default:
+	}
+	p.leave(w)
+	if ctx.Err() != nil {
+		return nil, refuse(banyanplank.ReasonCanceled, 0, "the caller left while the call waited")
+	}
+	return nil, refuse(banyanplank.ReasonOverload, p.retryAfter(), "no place came free in time")
+}
+
+// refuse returns the refusal of a call that was not sent.
+func refuse(reason banyanplank.Reason, after time.Duration, detail string) (refusal *banyanplank.Refusal) {
+	return &banyanplank.Refusal{Outcome: banyanplank.NotRun, Reason: reason, RetryAfter: after, Detail: detail}
+}
+
+// Repeat takes one repeat of a call to a service from the budget that all
+// entries share, or reports that it is used up.
+func (b *Balancer) Repeat(service banyanplank.ServiceName) (ok bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	p := b.pools[service]
+	return p != nil && p.budget.take(time.Now())
+}
+
+// Observe takes in the time between two events of a running stream.
+func (b *Balancer) Observe(service banyanplank.ServiceName, gap time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if p := b.pools[service]; p != nil {
+		p.pace.observe(time.Now(), gap)
+	}
+}
+
+// Alive returns how long ago some stream of the service went on, so that a
+// silent endpoint can be told from a group that stands still.
+func (b *Balancer) Alive(service banyanplank.ServiceName) (age time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	p := b.pools[service]
+	if p == nil {
+		return time.Hour
+	}
+	return time.Since(p.pace.last)
+}
+
+// PoolStatus describes one service for logs and metrics.
+type PoolStatus struct {
+	Service  banyanplank.ServiceName
+	Backends int
+	Usable   int
+	InFlight int
+	Waiting  int
+	// Limit is the calls that one engine may run at once.
+	Limit float64
+	// Pace is the time between two events of a stream.
+	Pace time.Duration
+}
+
+// Status describes all services.
+func (b *Balancer) Status() (all []PoolStatus) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := time.Now()
+	for _, p := range b.pools {
+		all = append(all, p.status(now))
+	}
+	return all
+}
--- /dev/null
+++ b/coordination/balancer/lease.go
@@ -0,0 +1,80 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// Kind tells how a call ended at its endpoint.
+type Kind uint8
+
+// The kinds of results.
+const (
+	// Served calls were answered whole.
+	Served Kind = iota
+	// Unreached calls were never sent.
+	Unreached
+	// Declined calls were not run by the endpoint, which said so.
+	Declined
+	// Failed calls were sent and have no whole answer.
+	Failed
+	// Abandoned calls were given up by their caller.
+	Abandoned
+)
+
+// Result is how a call ended at its endpoint.
+type Result struct {
+	Kind Kind
+	// Cold is how long the endpoint says it stays in cold start.
+	Cold time.Duration
+	// Blameless tells that another endpoint was at fault.
+	Blameless bool
+}
+
+// Lease is the right to send one call to an endpoint. Finish it exactly once.
+type Lease struct {
+	Backend *banyanplank.Backend
+	pool    *pool
+	seat    *seat
+	prompt  int
+	began   time.Time
+}
+
+// Begun tells that the first event has come.
+func (l *Lease) Begun() {
+	b := l.pool.owner
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	l.read()
+}
+
+// read takes the prompt out of those that the endpoint has to read.
+func (l *Lease) read() {
+	l.seat.unread -= l.prompt
+	l.prompt = 0
+}
+
+// Finish gives the place back.
+func (l *Lease) Finish(result Result) {
+	now := time.Now()
+	b := l.pool.owner
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	s := l.seat
+	l.read()
+	s.own--
+	s.trying = false
+	l.pool.count(now)
+	if result.Cold > 0 {
+		s.coldUntil = now.Add(result.Cold)
+	}
+	switch {
+	case result.Kind == Served:
+		s.serve(now.Sub(l.began))
+	case result.Kind == Abandoned || result.Blameless:
+	default:
+		s.fail(now)
+	}
+	l.pool.dispatch(now)
+}
--- /dev/null
+++ b/coordination/balancer/pool.go
@@ -0,0 +1,252 @@
+package balancer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// The times that a refused caller is told to wait.
+const (
+	// retryUnknown is for a cause whose end can't be foreseen.
+	retryUnknown = 500 * time.Millisecond
+	// retryLeast and retryMost bound the time when all endpoints are busy. The
+	// callers that are refused together must not return together.
+	retryLeast = 250 * time.Millisecond
+	retryMost  = 2 * time.Second
+	// retryBroken is for a group of ranks that stands still: it opens again
+	// some seconds after its lost rank is back.
+	retryBroken = 1500 * time.Millisecond
+)
+
+// The bounds on waiting.
+const (
+	// waitShare is the part of the goal that a call may wait for a place. The
+	// rest is left for the endpoint.
+	waitShare = 0.4
+	// plainQueue is how many calls a plain endpoint may hold for each of its
+	// slots, those that run included.
+	plainQueue = 2
+	// defaultSlots is for endpoints that do not state their slots.
+	defaultSlots = 8
+)
+
+// pool is one service.
+type pool struct {
+	owner   *Balancer
+	spec    banyanplank.PoolSpec
+	seats   map[banyanplank.BackendID]*seat
+	order   []*seat
+	waiting []*waiter
+	budget  budget
+	pace    pace
+	// finished counts the calls that left in the current second, and rate the
+	// calls that left in the last one.
+	finished float64
+	rate     float64
+	since    time.Time
+}
+
+// waiter is a call that waits for a place.
+type waiter struct {
+	query    Query
+	patience time.Duration
+	done     chan struct{}
+	lease    *Lease
+	err      error
+}
+
+// newPool returns a pool without endpoints.
+func newPool(owner *Balancer, now time.Time) *pool {
+	return &pool{
+		owner:  owner,
+		seats:  make(map[banyanplank.BackendID]*seat),
+		budget: budget{share: owner.share, slack: float64(owner.slack), span: owner.span},
+		since:  now,
+	}
+}
+
+// renew takes in the endpoints of the service.
+func (p *pool) renew(now time.Time, spec banyanplank.PoolSpec, fleet Fleet) {
+	p.spec = spec
+	entries := max(1, fleet.Entries)
+	p.budget.slack = float64(p.owner.slack) / float64(entries)
+	p.pace.configure(spec.Engine)
+	listed := make(map[banyanplank.BackendID]bool)
+	for _, backend := range fleet.Backends {
+		if backend.Service != spec.Name {
+			continue
+		}
+		listed[backend.ID] = true
+		s := p.seats[backend.ID]
+		if s == nil || s.backend.Address != backend.Address || !s.backend.Born.Equal(backend.Born) {
+			s = newSeat(p)
+			p.seats[backend.ID] = s
+		}
+		s.renew(now, backend, fleet.Out[backend.Zone], spec.ColdRate/float64(entries))
+	}
+	for id := range p.seats {
+		if !listed[id] {
+			delete(p.seats, id)
+		}
+	}
+	p.order = p.order[:0]
+	for _, s := range p.seats {
+		p.order = append(p.order, s)
+	}
+	slices.SortFunc(p.order, func(a, b *seat) int {
+		if a.backend.ID < b.backend.ID {
+			return -1
+		}
+		return 1
+	})
+	p.dispatch(now)
+}
+
+// limit returns how many calls an endpoint may hold.
+func (p *pool) limit(s *seat) (calls float64) {
+	slots := s.backend.Slots
+	if slots == 0 {
+		slots = defaultSlots
+	}
+	if p.spec.Engine == nil {
+		return float64(slots * plainQueue)
+	}
+	return min(float64(slots), p.pace.limit)
+}
+
+// admit gives a call a place, lets it wait, or refuses it.
+func (p *pool) admit(now time.Time, query Query) (lease *Lease, w *waiter, err error) {
+	if len(query.Avoid) == 0 {
+		p.budget.fresh(now)
+	}
+	if len(p.waiting) == 0 {
+		if s := p.choose(now, query); s != nil {
+			return p.grant(now, s, query), nil, nil
+		}
+	}
+	if !p.isUsable(now, query) {
+		return nil, nil, refuse(banyanplank.ReasonNoEndpoint, p.retryBroken(now), "no endpoint can take the call")
+	}
+	patience := time.Duration(float64(query.Goal) * waitShare)
+	if p.expectedWait() > patience {
+		return nil, nil, refuse(banyanplank.ReasonOverload, p.retryAfter(), "all endpoints are busy")
+	}
+	w = &waiter{query: query, patience: patience, done: make(chan struct{})}
+	at, _ := slices.BinarySearchFunc(p.waiting, w, func(a, b *waiter) int {
+		if a.query.Priority <= b.query.Priority {
+			return -1
+		}
+		return 1
+	})
+	p.waiting = slices.Insert(p.waiting, at, w)
+	return nil, w, nil
+}
+
+// expectedWait returns how long one more call would wait.
+func (p *pool) expectedWait() (wait time.Duration) {
+	rate := max(p.rate, 1)
+	return time.Duration(float64(len(p.waiting)+1) / rate * float64(time.Second))
+}
+
+// retryAfter returns when a call that finds all endpoints busy should return:
+// when those that wait have left, spread over as much time again.
+func (p *pool) retryAfter() (after time.Duration) {
+	after = retryLeast + p.expectedWait()
+	after += time.Duration(p.owner.random.Int64N(int64(after)))
+	return min(after, retryMost)
+}
+
+// retryBroken returns when a call that finds no endpoint should return.
+func (p *pool) retryBroken(now time.Time) (after time.Duration) {
+	soonest := retryBroken
+	for _, s := range p.order {
+		if left := s.ejectedUntil.Sub(now); left > 0 && !s.out && !s.backend.Leaving {
+			soonest = min(soonest, left)
+		}
+	}
+	return soonest + time.Duration(p.owner.random.Int64N(int64(retryLeast)))
+}
+
+// isUsable reports whether some endpoint could take the call once it has room.
+func (p *pool) isUsable(now time.Time, query Query) bool {
+	for _, s := range p.order {
+		if s.isUsable(now) && !slices.Contains(query.Avoid, s.backend.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// choose returns the endpoint that will start the call soonest, or nil.
+func (p *pool) choose(now time.Time, query Query) (best *seat) {
+	lowest := 0.0
+	for _, s := range p.order {
+		if !s.isUsable(now) || s.held()+1 > p.limit(s)+0.5 || !s.hasRate(now) || slices.Contains(query.Avoid, s.backend.ID) {
+			continue
+		}
+		if cost := s.cost(now, p.owner); best == nil || cost < lowest {
+			best, lowest = s, cost
+		}
+	}
+	return best
+}
+
+// grant takes a place.
+func (p *pool) grant(now time.Time, s *seat, query Query) (lease *Lease) {
+	s.begin(now, query)
+	return &Lease{Backend: s.backend, pool: p, seat: s, prompt: query.Prompt, began: now}
+}
+
+// dispatch gives free places to those that wait.
+func (p *pool) dispatch(now time.Time) {
+	for i := 0; i < len(p.waiting); {
+		w := p.waiting[i]
+		s := p.choose(now, w.query)
+		if s == nil {
+			i++
+			continue
+		}
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+		w.lease = p.grant(now, s, w.query)
+		close(w.done)
+	}
+}
+
+// leave takes a waiter out.
+func (p *pool) leave(w *waiter) {
+	if i := slices.Index(p.waiting, w); i >= 0 {
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+	}
+}
+
+// refuseAll refuses all that wait.
+func (p *pool) refuseAll() {
+	for _, w := range p.waiting {
+		w.err = refuse(banyanplank.ReasonNoEndpoint, retryUnknown, "the service was removed")
+		close(w.done)
+	}
+	p.waiting = nil
+}
+
+// count notes that a call has left.
+func (p *pool) count(now time.Time) {
+	if passed := now.Sub(p.since); passed >= time.Second {
+		p.rate = p.finished / passed.Seconds()
+		p.finished, p.since = 0, now
+	}
+	p.finished++
+}
+
+// status describes the pool.
+func (p *pool) status(now time.Time) (status PoolStatus) {
+	status = PoolStatus{Service: p.spec.Name, Backends: len(p.order), Waiting: len(p.waiting), Limit: p.pace.limit, Pace: p.pace.mean}
+	for _, s := range p.order {
+		status.InFlight += s.own
+		if s.isUsable(now) {
+			status.Usable++
+		}
+	}
+	return status
+}
--- /dev/null
+++ b/coordination/balancer/seat.go
@@ -0,0 +1,169 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// The weights of a choice, in calls in flight.
+const (
+	// farCost keeps a call in its zone among near equals.
+	farCost = 0.4
+	// failureCost is for an endpoint all of whose calls fail.
+	failureCost = 20
+	// jitterCost breaks ties, so that entries do not all choose the same.
+	jitterCost = 0.3
+	// tokensPerCall is the prompt tokens that weigh as much as one more call.
+	tokensPerCall = 1200
+)
+
+// The bounds on leaving out an endpoint that fails.
+const (
+	ejectLeast = 250 * time.Millisecond
+	ejectMost  = 4 * time.Second
+	// failureDecay is the weight of the latest call in the share of failures.
+	failureDecay = 0.2
+	// latencyDecay is the weight of the latest call in the mean latency.
+	latencyDecay = 0.15
+)
+
+// seat is what an entry knows of one endpoint.
+type seat struct {
+	pool    *pool
+	backend *banyanplank.Backend
+	// out tells that the endpoint's zone is out of service.
+	out bool
+	// own and others are the calls in flight.
+	own    int
+	others int
+	// unread is the prompt tokens of calls that have no first event yet.
+	unread int
+	// failures is the share of calls that failed lately, latency how long the
+	// others took.
+	failures float64
+	latency  time.Duration
+	// streak counts the failures in a row.
+	streak       int
+	ejectedUntil time.Time
+	trying       bool
+	coldUntil    time.Time
+	cold         bucket
+}
+
+// newSeat returns a seat that nothing is known of.
+func newSeat(p *pool) *seat { return &seat{pool: p} }
+
+// renew takes in what the platform lists.
+func (s *seat) renew(now time.Time, backend banyanplank.Backend, out bool, coldRate float64) {
+	// An endpoint may turn cold while its zone gets no work.
+	if s.out && !out && backend.Cold == 0 {
+		s.coldUntil = now.Add(returnCold)
+	}
+	if backend.Cold > 0 && (s.backend == nil || s.backend.Cold != backend.Cold) {
+		s.coldUntil = now.Add(backend.Cold)
+	}
+	s.backend, s.out = &backend, out
+	s.cold.rate = coldRate
+}
+
+// returnCold is how long endpoints of a zone that returns count as cold.
+const returnCold = 3 * time.Second
+
+// held returns the calls that the endpoint has, as far as known.
+func (s *seat) held() (calls float64) { return float64(s.own + s.others) }
+
+// isUsable reports whether the endpoint may get work when it has room.
+func (s *seat) isUsable(now time.Time) bool {
+	if s.out || s.backend.Leaving {
+		return false
+	}
+	if now.Before(s.ejectedUntil) {
+		return false
+	}
+	// After a time out, one call at a time shows whether it is well again.
+	return s.streak == 0 || !s.trying
+}
+
+// hasRate reports whether the endpoint's cold start allows one more call.
+func (s *seat) hasRate(now time.Time) bool {
+	return !now.Before(s.coldUntil) || s.cold.has(now)
+}
+
+// cost returns how little the endpoint suits one more call.
+func (s *seat) cost(now time.Time, b *Balancer) (cost float64) {
+	cost = s.held() + float64(s.unread)/tokensPerCall + s.failures*failureCost
+	if s.pool.spec.Engine == nil && s.latency > 0 {
+		// Plain endpoints of one service differ in speed.
+		cost = (cost + 1) * s.latency.Seconds() * 100
+	}
+	if s.backend.Zone != b.zone {
+		cost += farCost
+	}
+	return cost + jitterCost*b.random.Float64()
+}
+
+// begin notes a call that is sent.
+func (s *seat) begin(now time.Time, query Query) {
+	s.own++
+	s.unread += query.Prompt
+	if s.streak > 0 {
+		s.trying = true
+	}
+	if now.Before(s.coldUntil) {
+		s.cold.take(now)
+	}
+}
+
+// fail notes a call that the endpoint failed.
+func (s *seat) fail(now time.Time) {
+	s.failures += failureDecay * (1 - s.failures)
+	s.streak++
+	pause := ejectLeast << min(s.streak-1, 4)
+	s.ejectedUntil = now.Add(min(pause, ejectMost))
+}
+
+// serve notes a call that went well.
+func (s *seat) serve(latency time.Duration) {
+	s.failures -= failureDecay * s.failures
+	s.streak = 0
+	if s.latency == 0 {
+		s.latency = latency
+		return
+	}
+	s.latency += time.Duration(latencyDecay * float64(latency-s.latency))
+}
+
+// bucket bounds a rate.
+type bucket struct {
+	rate   float64
+	tokens float64
+	at     time.Time
+}
+
+// burstSpan is the time for which a bucket saves up.
+const burstSpan = 100 * time.Millisecond
+
+// fill adds what has come since the last call.
+func (k *bucket) fill(now time.Time) {
+	if !k.at.IsZero() {
+		k.tokens += now.Sub(k.at).Seconds() * k.rate
+	}
+	k.tokens = min(k.tokens, max(1, k.rate*burstSpan.Seconds()))
+	k.at = now
+}
+
+// has reports whether one call may go. A rate of zero is no bound.
+func (k *bucket) has(now time.Time) bool {
+	if k.rate <= 0 {
+		return true
+	}
+	k.fill(now)
+	return k.tokens >= 1
+}
+
+// take counts one call.
+func (k *bucket) take(now time.Time) {
+	k.fill(now)
+	k.tokens--
+}
--- /dev/null
+++ b/coordination/router/router.go
@@ -0,0 +1,62 @@
+// Package router finds the route and the client account of a call.
+package router
+
+import (
+	"strings"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// Router is an index of one routing table. A value is immutable.
+type Router struct {
+	table    *banyanplank.RoutingTable
+	routes   map[string]map[string]*banyanplank.RouteSpec
+	accounts map[string]*banyanplank.AccountSpec
+}
+
+// New returns an index of table.
+func New(table *banyanplank.RoutingTable) *Router {
+	r := &Router{
+		table:    table,
+		routes:   make(map[string]map[string]*banyanplank.RouteSpec),
+		accounts: make(map[string]*banyanplank.AccountSpec, len(table.Accounts)),
+	}
+	for i := range table.Routes {
+		route := &table.Routes[i]
+		host := strings.ToLower(route.Host)
+		if r.routes[host] == nil {
+			r.routes[host] = make(map[string]*banyanplank.RouteSpec)
+		}
+		r.routes[host][route.Prefix] = route
+	}
+	for i := range table.Accounts {
+		r.accounts[table.Accounts[i].Key] = &table.Accounts[i]
+	}
+	return r
+}
+
+// Table returns the indexed table.
+func (r *Router) Table() (table *banyanplank.RoutingTable) { return r.table }
+
+// Route returns the route with the longest prefix of path, or nil.
+func (r *Router) Route(host, path string) (route *banyanplank.RouteSpec) {
+	if name, _, ok := strings.Cut(host, ":"); ok {
+		host = name
+	}
+	prefixes := r.routes[strings.ToLower(host)]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if route = prefixes[path[:end+1]]; route != nil {
+			return route
+		}
+	}
+	return nil
+}
+
+// Account returns the client account that holds the key with this digest, or
+// nil.
+func (r *Router) Account(key string) (account *banyanplank.AccountSpec) {
+	return r.accounts[key]
+}
+
+// Keyed reports whether calls need a key at all.
+func (r *Router) Keyed() bool { return len(r.accounts) > 0 }
--- /dev/null
+++ b/coordination/surveyor/surveyor.go
@@ -0,0 +1,457 @@
+// Package surveyor holds what an entry believes of the system: the routes in
+// force, the endpoints, the availability zones out of service and the other
+// entries. It is a pure model; its snapshots are immutable.
+package surveyor
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/beater"
+	"github.com/banyanplank/banyanplank/coordination/router"
+	"github.com/banyanplank/banyanplank/state/follower"
+)
+
+// The times that the model acts on.
+const (
+	// TickInterval is the time between two [banyanplank.TickMsg].
+	TickInterval = 200 * time.Millisecond
+	// aliveAge is how old the last heartbeat of a live entry may be.
+	aliveAge = 1200 * time.Millisecond
+	// returnGrace is how long an endpoint that the platform no longer lists
+	// after an outage of its store may take to register again.
+	returnGrace = 2 * time.Second
+	// forgetAge is after how long an entry that was never heard is taken off
+	// the platform's list.
+	forgetAge = 30 * time.Second
+	// registerPause is the time between two attempts to register.
+	registerPause = time.Second
+)
+
+// HeardMsg is a heartbeat of a peer.
+type HeardMsg struct{ Beat *beater.Beat }
+
+// DrainMsg tells that this entry stops soon.
+type DrainMsg struct{}
+
+// RegisterCmd asks to write the own entry of the members.
+type RegisterCmd struct{ Member banyanplank.Member }
+
+// RegisteredMsg ends a RegisterCmd.
+type RegisteredMsg struct{ Err error }
+
+// RemoveCmd asks to remove the entry of a member that is gone.
+type RemoveCmd struct{ ID banyanplank.DaemonID }
+
+// NoteCmd asks to log a change of belief.
+type NoteCmd struct {
+	Event string
+	// Topic and Key name what changed, Value what it is now.
+	Topic banyanplank.Topic
+	Key   string
+	Value string
+	// Revision is the platform's revision that the belief is as of, Age how
+	// old the word on it is.
+	Revision banyanplank.Version
+	Age      time.Duration
+	Err      error
+}
+
+// Snapshot is what an entry believes.
+type Snapshot struct {
+	// Router is nil until a routing table is known.
+	Router   *router.Router
+	Backends []banyanplank.Backend
+	Out      map[banyanplank.Zone]bool
+	// Entries are the live entries that take new callers, this one included
+	// unless it drains. Peers are all entries that heartbeats go to.
+	Entries []banyanplank.Member
+	Peers   []banyanplank.Member
+	// Alive counts the entries that live, this one included.
+	Alive     int
+	Revisions map[banyanplank.Topic]banyanplank.Version
+	// Ready tells that this entry may take new callers.
+	Ready bool
+}
+
+// Model is the control state. Create it with NewModel.
+type Model struct {
+	self     banyanplank.Member
+	router   *router.Router
+	listed   map[banyanplank.BackendID]*listing
+	out      map[banyanplank.Zone]bool
+	members  map[banyanplank.DaemonID]*membership
+	topics   map[banyanplank.Topic]*topic
+	draining bool
+	// registered tells that the own entry was written, asked when that was
+	// last tried.
+	registered bool
+	asked      time.Time
+	snapshot   *Snapshot
+	notes      []banyanplank.Command
+}
+
+// listing is an endpoint of service discovery.
+type listing struct {
+	backend banyanplank.Backend
+	// missing is when the endpoint was found to be no longer listed, if so.
+	missing time.Time
+}
+
+// membership is what is known of another entry.
+type membership struct {
+	member banyanplank.Member
+	// listed tells that the platform lists it, known since when.
+	listed bool
+	known  time.Time
+	// heard is when the last heartbeat came.
+	heard time.Time
+	ready bool
+	alive bool
+}
+
+// topic is how far a topic is known.
+type topic struct {
+	revision banyanplank.Version
+	listed   bool
+	lost     bool
+	resumed  time.Time
+}
+
+// NewModel returns the control state of the entry self, which knows nothing.
+func NewModel(self banyanplank.Member) *Model {
+	m := &Model{
+		self:    self,
+		listed:  make(map[banyanplank.BackendID]*listing),
+		out:     make(map[banyanplank.Zone]bool),
+		members: make(map[banyanplank.DaemonID]*membership),
+		topics:  make(map[banyanplank.Topic]*topic),
+	}
+	m.publish()
+	return m
+}
+
+// Snapshot returns the belief after the last update.
+func (m *Model) Snapshot() (s *Snapshot) { return m.snapshot }
+
+// Update implements banyanplank.Model.
+func (m *Model) Update(now time.Time, msg banyanplank.Msg) (model banyanplank.Model, commands []banyanplank.Command) {
+	m.notes = nil
+	changed := true
+	switch msg := msg.(type) {
+	case follower.TopicMsg:
+		changed = m.follow(now, msg)
+	case follower.LostMsg:
+		m.topic(msg.Topic).lost = true
+		m.note(NoteCmd{Event: "topic lost", Topic: msg.Topic, Revision: m.topic(msg.Topic).revision, Err: msg.Err})
+	case HeardMsg:
+		changed = m.hear(now, msg.Beat)
+	case RegisteredMsg:
+		m.registered = msg.Err == nil
+		m.note(NoteCmd{Event: "register", Topic: banyanplank.TopicMembers, Key: string(m.self.ID), Err: msg.Err})
+	case DrainMsg:
+		m.draining = true
+	case banyanplank.TickMsg:
+		changed = m.tick(now)
+	}
+	if changed {
+		m.publish()
+	}
+	return m, m.notes
+}
+
+// note asks for a log line.
+func (m *Model) note(note NoteCmd) { m.notes = append(m.notes, note) }
+
+// topic returns how far a topic is known.
+func (m *Model) topic(name banyanplank.Topic) (t *topic) {
+	t = m.topics[name]
+	if t == nil {
+		t = &topic{}
+		m.topics[name] = t
+	}
+	return t
+}
+
+// follow takes in what is new in a topic.
+func (m *Model) follow(now time.Time, msg follower.TopicMsg) (changed bool) {
+	t := m.topic(msg.Topic)
+	if msg.Revision < t.revision {
+		return false
+	}
+	first := !t.listed
+	t.revision, t.listed = msg.Revision, true
+	if msg.Resumed {
+		t.resumed = now
+	}
+	if t.lost {
+		t.lost = false
+		m.note(NoteCmd{Event: "topic regained", Topic: msg.Topic, Revision: msg.Revision})
+	}
+	graced := now.Sub(t.resumed) < returnGrace && !t.resumed.IsZero()
+	switch msg.Topic {
+	case banyanplank.TopicRouting:
+		m.route(now, msg)
+	case banyanplank.TopicBackends:
+		m.listBackends(now, msg, graced)
+	case banyanplank.TopicZonesOut:
+		m.listZones(now, msg)
+	case banyanplank.TopicMembers:
+		m.listMembers(now, msg)
+	}
+	return first || len(msg.Entries) > 0 || msg.Whole
+}
+
+// route takes in a routing table that is newer than the one in force.
+func (m *Model) route(now time.Time, msg follower.TopicMsg) {
+	for _, e := range msg.Entries {
+		table, ok := e.Value.(*banyanplank.RoutingTable)
+		if !ok || (m.router != nil && table.Version <= m.router.Table().Version) {
+			continue
+		}
+		m.router = router.New(table)
+		m.note(NoteCmd{
+			Event: "routing in force", Topic: msg.Topic, Key: e.Key, Revision: msg.Revision, Age: now.Sub(msg.Sent),
+			Value: formatTable(table),
+		})
+	}
+}
+
+// listBackends takes in endpoints. One that is no longer listed right after an
+// outage gets time to register again.
+func (m *Model) listBackends(now time.Time, msg follower.TopicMsg, graced bool) {
+	present := make(map[banyanplank.BackendID]bool, len(msg.Entries))
+	for _, e := range msg.Entries {
+		id := banyanplank.BackendID(e.Key)
+		backend, ok := e.Value.(banyanplank.Backend)
+		if !ok {
+			m.unlist(now, id, msg.Revision, graced)
+			continue
+		}
+		present[id] = true
+		m.list(backend, msg.Revision)
+	}
+	if !msg.Whole {
+		return
+	}
+	for id := range m.listed {
+		if !present[id] {
+			m.unlist(now, id, msg.Revision, graced)
+		}
+	}
+}
+
+// list takes in one endpoint.
+func (m *Model) list(backend banyanplank.Backend, revision banyanplank.Version) {
+	old := m.listed[backend.ID]
+	m.listed[backend.ID] = &listing{backend: backend}
+	if old == nil || old.backend.Leaving != backend.Leaving || old.backend.Address != backend.Address || old.backend.Cold != backend.Cold {
+		m.note(NoteCmd{Event: "endpoint", Topic: banyanplank.TopicBackends, Key: string(backend.ID), Revision: revision, Value: formatBackend(backend)})
+	}
+}
+
+// unlist takes out one endpoint, or notes that it is missing.
+func (m *Model) unlist(now time.Time, id banyanplank.BackendID, revision banyanplank.Version, graced bool) {
+	l := m.listed[id]
+	if l == nil {
+		return
+	}
+	if graced && !l.backend.Leaving {
+		if l.missing.IsZero() {
+			l.missing = now
+			m.note(NoteCmd{Event: "endpoint missing", Topic: banyanplank.TopicBackends, Key: string(id), Revision: revision})
+		}
+		return
+	}
+	delete(m.listed, id)
+	m.note(NoteCmd{Event: "endpoint gone", Topic: banyanplank.TopicBackends, Key: string(id), Revision: revision})
+}
+
+// listZones takes in the availability zones out of service.
+func (m *Model) listZones(now time.Time, msg follower.TopicMsg) {
+	present := make(map[banyanplank.Zone]bool)
+	for _, e := range msg.Entries {
+		zone := banyanplank.Zone(e.Key)
+		present[zone] = e.Value != nil
+		m.setOut(now, msg, zone, e.Value != nil)
+	}
+	if !msg.Whole {
+		return
+	}
+	for zone := range m.out {
+		if !present[zone] {
+			m.setOut(now, msg, zone, false)
+		}
+	}
+}
+
+// setOut notes whether a zone is out of service.
+func (m *Model) setOut(now time.Time, msg follower.TopicMsg, zone banyanplank.Zone, out bool) {
+	if m.out[zone] == out {
+		return
+	}
+	event := "zone back"
+	if out {
+		event = "zone out"
+		m.out[zone] = true
+	} else {
+		delete(m.out, zone)
+	}
+	m.note(NoteCmd{Event: event, Topic: msg.Topic, Key: string(zone), Revision: msg.Revision, Age: now.Sub(msg.Sent)})
+}
+
+// listMembers takes in the entries that the platform lists.
+func (m *Model) listMembers(now time.Time, msg follower.TopicMsg) {
+	present := make(map[banyanplank.DaemonID]bool)
+	for _, e := range msg.Entries {
+		id := banyanplank.DaemonID(e.Key)
+		member, ok := e.Value.(banyanplank.Member)
+		present[id] = ok
+		switch {
+		case id == m.self.ID:
+			m.registered = ok && member.Incarnation >= m.self.Incarnation
+		case ok:
+			m.know(now, member).listed = true
+		case m.members[id] != nil:
+			m.members[id].listed = false
+		}
+	}
+	if !msg.Whole {
+		return
+	}
+	m.registered = m.registered && present[m.self.ID]
+	for id, s := range m.members {
+		s.listed = s.listed && present[id]
+	}
+}
+
+// know returns the membership of a member, which may be new or have restarted.
+func (m *Model) know(now time.Time, member banyanplank.Member) (s *membership) {
+	s = m.members[member.ID]
+	if s == nil {
+		s = &membership{member: member, known: now}
+		m.members[member.ID] = s
+	}
+	if member.Incarnation > s.member.Incarnation {
+		s.member, s.known = member, now
+	}
+	return s
+}
+
+// hear takes in a heartbeat.
+func (m *Model) hear(now time.Time, beat *beater.Beat) (changed bool) {
+	if beat.From == m.self.ID {
+		return false
+	}
+	s := m.know(now, banyanplank.Member{
+		ID:          beat.From,
+		Incarnation: beat.Incarnation,
+		Role:        banyanplank.RoleEntry,
+		Zone:        beat.Zone,
+		Peer:        beat.Peer,
+		Caller:      beat.Caller,
+	})
+	if beat.Incarnation < s.member.Incarnation {
+		return false
+	}
+	s.heard = now
+	changed = !s.alive || s.ready != beat.Ready
+	if !s.alive {
+		m.note(NoteCmd{Event: "peer heard", Topic: banyanplank.TopicMembers, Key: string(beat.From)})
+	}
+	s.alive, s.ready = true, beat.Ready
+	return changed
+}
+
+// tick acts on what has not come.
+func (m *Model) tick(now time.Time) (changed bool) {
+	for id, l := range m.listed {
+		if !l.missing.IsZero() && now.Sub(l.missing) >= returnGrace {
+			delete(m.listed, id)
+			changed = true
+			m.note(NoteCmd{Event: "endpoint gone", Topic: banyanplank.TopicBackends, Key: string(id), Age: now.Sub(l.missing)})
+		}
+	}
+	for id, s := range m.members {
+		if s.alive && now.Sub(s.heard) > aliveAge {
+			s.alive = false
+			changed = true
+			m.note(NoteCmd{Event: "peer silent", Topic: banyanplank.TopicMembers, Key: string(id), Age: now.Sub(s.heard)})
+		}
+	}
+	m.tend(now)
+	return changed
+}
+
+// tend keeps the platform's list of entries up to date.
+func (m *Model) tend(now time.Time) {
+	if !m.registered && !m.draining && now.Sub(m.asked) >= registerPause {
+		m.asked = now
+		m.notes = append(m.notes, RegisterCmd{Member: m.self})
+	}
+	for id, s := range m.members {
+		if s.alive || now.Sub(later(s.known, s.heard)) < forgetAge {
+			continue
+		}
+		if s.listed && m.isFirst() {
+			m.notes = append(m.notes, RemoveCmd{ID: id})
+		}
+		delete(m.members, id)
+	}
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// isFirst reports whether this entry is the first of those that live, which
+// does what only one of them needs to do.
+func (m *Model) isFirst() bool {
+	for id, s := range m.members {
+		if s.alive && id < m.self.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// publish makes a new snapshot.
+func (m *Model) publish() {
+	s := &Snapshot{
+		Router:    m.router,
+		Out:       make(map[banyanplank.Zone]bool, len(m.out)),
+		Revisions: make(map[banyanplank.Topic]banyanplank.Version, len(m.topics)),
+		Alive:     1,
+	}
+	for zone := range m.out {
+		s.Out[zone] = true
+	}
+	for name, t := range m.topics {
+		s.Revisions[name] = t.revision
+	}
+	for _, l := range m.listed {
+		s.Backends = append(s.Backends, l.backend)
+	}
+	slices.SortFunc(s.Backends, func(a, b banyanplank.Backend) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	s.Ready = m.router != nil && m.topic(banyanplank.TopicBackends).listed && m.topic(banyanplank.TopicZonesOut).listed && !m.draining
+	if s.Ready {
+		s.Entries = append(s.Entries, m.self)
+	}
+	for _, member := range m.members {
+		s.Peers = append(s.Peers, member.member)
+		if member.alive {
+			s.Alive++
+		}
+		if member.alive && member.ready {
+			s.Entries = append(s.Entries, member.member)
+		}
+	}
+	slices.SortFunc(s.Entries, func(a, b banyanplank.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	m.snapshot = s
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/banyanplank/banyanplank/state/tallier"
 	"github.com/banyanplank/banyanplank/transport/dialer"
 	"github.com/banyanplank/banyanplank/transport/listener"
+	"github.com/banyanplank/banyanplank/transport/logger"
 )
 
 // Daemon is one process between callers and endpoints.
@@ -86,7 +87,7 @@
 
 // WithLog writes the log to out. The default drops it.
 func WithLog(out io.Writer) Option {
-	return func(d *Daemon) { d.logger = NewLogger(out) }
+	return func(d *Daemon) { d.logger = logger.New(out) }
 }
 
 // New returns a daemon that has not started. It loads the keys that the
@@ -95,7 +96,7 @@
 	defer func() { err = errors.Wrap(err, "assemble daemon") }()
 	d := &Daemon{
 		settings: settings,
-		logger:   NewLogger(io.Discard),
+		logger:   logger.New(io.Discard),
 		keeper:   &keeper.Keeper{},
 		interval: planInterval,
 		member:   memberOf(settings, time.Now()),
--- /dev/null
+++ b/gateway/daemon.go
@@ -0,0 +1,289 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/balancer"
+	"github.com/banyanplank/banyanplank/coordination/beater"
+	"github.com/banyanplank/banyanplank/coordination/surveyor"
+	"github.com/banyanplank/banyanplank/state/follower"
+	"github.com/banyanplank/banyanplank/transport/requester"
+)
+
+// The use of memory and connections.
+const (
+	// heapShare is the part of the instance's memory that the heap may take
+	// before the collector works harder. The rest is for buffers of the system.
+	heapShare = 0.6
+	// heapGrowth is how far the heap grows between two collections, in percent.
+	// Memory is cheap here and processor time is not.
+	heapGrowth = 400
+	// headerTimeout bounds the time to read a header.
+	headerTimeout = 30 * time.Second
+	// idleTimeout is longer than operators let callers keep an unused
+	// connection, so that an entry never closes one that is about to be used.
+	idleTimeout = 2 * time.Minute
+)
+
+// The stop of an entry.
+const (
+	// drainShare is the part of the grace during which a stopping entry takes
+	// new calls, because callers still hold the directory's last answer.
+	drainShare = 0.5
+	// lastShare is the part of the grace by which all calls must be done.
+	lastShare = 0.95
+)
+
+// Daemon is an entry that calls endpoints itself.
+type Daemon struct {
+	settings  Settings
+	member    banyanplank.Member
+	discovery banyanplank.Discovery
+	gateway   *Gateway
+	view      atomic.Pointer[surveyor.Snapshot]
+	balancer  *balancer.Balancer
+	logger    *log.Logger
+	loop      *banyanplank.Loop
+	beats     atomic.Uint64
+	directory http.Handler
+	ready     http.Handler
+}
+
+// New returns a daemon that has not started. Dialect is how the platform's
+// callers and endpoints speak.
+func New(settings Settings, discovery banyanplank.Discovery, dialect banyanplank.Dialect, logger *log.Logger) (d *Daemon) {
+	d = &Daemon{
+		settings:  settings,
+		discovery: discovery,
+		logger:    logger,
+		member: banyanplank.Member{
+			ID:          settings.Name,
+			Incarnation: banyanplank.NewIncarnation(time.Now()),
+			Role:        banyanplank.RoleEntry,
+			Zone:        settings.Zone,
+			Peer:        settings.Listen.Peer,
+			Caller:      settings.Listen.Caller,
+		},
+	}
+	limits := settings.Limits
+	d.balancer = balancer.New(balancer.WithZone(settings.Zone), balancer.WithRepeats(limits.Share, limits.Slack, time.Duration(limits.Span)))
+	model := surveyor.NewModel(d.member)
+	d.view.Store(model.Snapshot())
+	d.gateway = &Gateway{
+		view:      &d.view,
+		balancer:  d.balancer,
+		requester: requester.New(dialect),
+		dialect:   dialect,
+		logger:    logger,
+		counters:  newCounters(),
+		stall:     time.Duration(limits.Stall),
+	}
+	d.loop = banyanplank.NewLoop(model, executor{d}, banyanplank.WithTick(surveyor.TickInterval), banyanplank.WithAfter(d.publish))
+	d.directory, d.ready = http.NotFoundHandler(), http.NotFoundHandler()
+	return d
+}
+
+// Serve sets the handlers of the directory and of the platform's checks.
+func (d *Daemon) Serve(directory, ready http.Handler) { d.directory, d.ready = directory, ready }
+
+// publish hands a new belief to the traffic.
+func (d *Daemon) publish(model banyanplank.Model) {
+	snapshot := model.(*surveyor.Model).Snapshot()
+	old := d.view.Swap(snapshot)
+	if old == snapshot {
+		return
+	}
+	fleet := balancer.Fleet{Backends: snapshot.Backends, Out: snapshot.Out, Entries: snapshot.Alive}
+	if snapshot.Router != nil {
+		fleet.Pools = snapshot.Router.Table().Pools
+	}
+	d.balancer.Renew(time.Now(), fleet)
+	known := make(map[banyanplank.BackendID]bool, len(snapshot.Backends))
+	for _, b := range snapshot.Backends {
+		known[b.ID] = true
+	}
+	d.gateway.requester.Forget(func(id banyanplank.BackendID) bool { return known[id] })
+}
+
+// executor carries out the commands of the control state.
+type executor struct{ *Daemon }
+
+// Execute implements banyanplank.Executor.
+func (e executor) Execute(ctx context.Context, command banyanplank.Command) (msg banyanplank.Msg) {
+	switch c := command.(type) {
+	case surveyor.NoteCmd:
+		e.note(c)
+	case surveyor.RegisterCmd:
+		return surveyor.RegisteredMsg{Err: e.discovery.Register(ctx, c.Member)}
+	case surveyor.RemoveCmd:
+		err := e.discovery.Remove(ctx, c.ID)
+		e.note(surveyor.NoteCmd{Event: "remove member", Topic: banyanplank.TopicMembers, Key: string(c.ID), Err: err})
+	}
+	return nil
+}
+
+// note logs a change of belief.
+func (d *Daemon) note(n surveyor.NoteCmd) {
+	line := d.logger.Info()
+	if n.Err != nil {
+		line = d.logger.Warn().Err(n.Err)
+	}
+	line.Str("topic", string(n.Topic)).Str("key", n.Key).Str("value", n.Value).
+		Uint64("revision", uint64(n.Revision)).Dur("age", n.Age).Msg(n.Event)
+}
+
+// Advise returns the addresses that a caller in zone should use, and how long
+// to keep them.
+func (d *Daemon) Advise(zone banyanplank.Zone) (addresses []netip.AddrPort, keep time.Duration) {
+	return advise(d.view.Load().Entries, zone), min(adviceKeep, time.Duration(d.settings.Limits.Keep))
+}
+
+// IsReady reports whether new callers are welcome.
+func (d *Daemon) IsReady() bool { return d.view.Load().Ready }
+
+// Run serves until ctx ends, then stops as planned.
+func (d *Daemon) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "run entry") }()
+	debug.SetMemoryLimit(int64(heapShare * float64(d.settings.Limits.Memory)))
+	debug.SetGCPercent(heapGrowth)
+	d.logger.Info().Str("name", string(d.member.ID)).Str("zone", string(d.member.Zone)).
+		Stringer("caller", d.settings.Listen.Caller).Uint64("incarnation", uint64(d.member.Incarnation)).Msg("start")
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	work := pool.New().WithErrors().WithContext(inner).WithCancelOnError()
+	servers, err := d.listen(work)
+	if err != nil {
+		return err
+	}
+	d.start(work)
+	work.Go(func(inner context.Context) error {
+		select {
+		case <-inner.Done():
+			return nil
+		case <-ctx.Done():
+		}
+		d.drain(inner, servers)
+		cancel()
+		return nil
+	})
+	err = work.Wait()
+	d.logger.Info().Err(err).Msg("stop")
+	return err
+}
+
+// start begins the control loop, the heartbeats and the following of topics.
+func (d *Daemon) start(work *pool.ContextPool) {
+	work.Go(d.loop.Run)
+	b := beater.New(d.settings.Listen.Peer, d.compose, d.hear, d.failBeat)
+	work.Go(b.Run)
+	f := follower.New(d.discovery, func(msg banyanplank.Msg) { d.loop.Send(context.Background(), msg) })
+	for _, topic := range []banyanplank.Topic{banyanplank.TopicRouting, banyanplank.TopicBackends, banyanplank.TopicZonesOut, banyanplank.TopicMembers} {
+		work.Go(func(ctx context.Context) error {
+			f.Follow(ctx, topic)
+			return nil
+		})
+	}
+}
+
+// listen opens the addresses and serves them.
+func (d *Daemon) listen(work *pool.ContextPool) (servers []*http.Server, err error) {
+	listening := []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{d.settings.Listen.Caller, d.gateway},
+		{d.settings.Listen.Directory, d.directory},
+		{d.settings.Listen.Ready, d.ready},
+		{d.settings.Listen.Metrics, http.HandlerFunc(d.writeMetrics)},
+	}
+	for _, l := range listening {
+		if !l.address.IsValid() {
+			continue
+		}
+		listener, err := net.Listen("tcp", l.address.String())
+		if err != nil {
+			return nil, err
+		}
+		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		servers = append(servers, server)
+		work.Go(func(context.Context) error {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		})
+	}
+	return servers, nil
+}
+
+// drain stops as planned: it takes itself out of the directory, serves on while
+// callers still come, and lets what runs end.
+func (d *Daemon) drain(ctx context.Context, servers []*http.Server) {
+	began := time.Now()
+	grace := time.Duration(d.settings.Limits.Grace)
+	d.logger.Info().Int64("running", d.gateway.running.Load()).Dur("grace", grace).Msg("drain")
+	d.gateway.draining.Store(true)
+	d.loop.Send(ctx, surveyor.DrainMsg{})
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Duration(drainShare * float64(grace))):
+	}
+	last, cancel := context.WithDeadline(ctx, began.Add(time.Duration(lastShare*float64(grace))))
+	defer cancel()
+	if err := servers[0].Shutdown(last); err != nil {
+		d.logger.Warn().Err(err).Int64("running", d.gateway.running.Load()).Msg("calls cut by stop")
+	}
+	for _, s := range servers {
+		if err := s.Close(); err != nil {
+			d.logger.Warn().Err(err).Msg("close server")
+		}
+	}
+}
+
+// compose returns the next heartbeat and who gets it.
+func (d *Daemon) compose() (beat *beater.Beat, peers []netip.AddrPort) {
+	snapshot := d.view.Load()
+	for _, m := range snapshot.Peers {
+		peers = append(peers, m.Peer)
+	}
+	return &beater.Beat{
+		From:        d.member.ID,
+		Incarnation: d.member.Incarnation,
+		Sequence:    d.beats.Add(1),
+		Zone:        d.member.Zone,
+		Peer:        d.member.Peer,
+		Caller:      d.member.Caller,
+		Ready:       snapshot.Ready,
+		InFlight:    d.balancer.InFlight(),
+		Revisions:   snapshot.Revisions,
+	}, peers
+}
+
+// hear takes in the heartbeat of a peer.
+func (d *Daemon) hear(beat *beater.Beat) {
+	d.balancer.Hear(time.Now(), beat.From, beat.InFlight)
+	d.loop.Send(context.Background(), surveyor.HeardMsg{Beat: beat})
+}
+
+// failBeat notes a heartbeat that could not be sent or read.
+func (d *Daemon) failBeat(err error) {
+	d.logger.Warn().Err(err).Msg("heartbeat failed")
+}
+
+// writeMetrics serves the counters as text.
+func (d *Daemon) writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	d.gateway.counters.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/gateway/record.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// counters are the metrics of an entry.
+type counters struct {
+	set   *metrics.Set
+	first *metrics.Histogram
+	total *metrics.Histogram
+	wait  *metrics.Histogram
+}
+
+// newCounters returns counters in a set of their own.
+func newCounters() *counters {
+	set := metrics.NewSet()
+	return &counters{
+		set:   set,
+		first: set.NewHistogram("banyanplank_call_first_seconds"),
+		total: set.NewHistogram("banyanplank_call_seconds"),
+		wait:  set.NewHistogram("banyanplank_call_wait_seconds"),
+	}
+}
+
+// count counts one call.
+func (c *counters) count(f *flow) {
+	kind := "none"
+	if f.route != nil {
+		kind = f.route.Kind.String()
+	}
+	c.set.GetOrCreateCounter(`banyanplank_calls_total{kind="` + kind + `",outcome="` + f.outcome() + `"}`).Inc()
+	if f.sends > 1 {
+		c.set.GetOrCreateCounter(`banyanplank_repeats_total{kind="` + kind + `"}`).Add(f.sends - 1)
+	}
+	if f.result.first > 0 {
+		c.first.Update(f.result.first.Seconds())
+	}
+	c.total.Update(time.Since(f.arrived).Seconds())
+	c.wait.Update(f.result.waited.Seconds())
+}
+
+// outcome sums up how a call ended in one word.
+func (f *flow) outcome() (word string) {
+	switch status := f.result.status; {
+	case f.result.reason == "cut":
+		return "cut"
+	case f.result.reason == "caller left":
+		return "left"
+	case status == 0:
+		return "none"
+	case status < http.StatusBadRequest:
+		return "served"
+	case status == http.StatusServiceUnavailable:
+		return "refused"
+	case status < http.StatusInternalServerError:
+		return "invalid"
+	default:
+		return "failed"
+	}
+}
+
+// record writes the log line of a call and counts it.
+func (f *flow) record() {
+	f.gateway.counters.count(f)
+	line := f.gateway.logger.Info()
+	if f.outcome() != "served" {
+		line = f.gateway.logger.Warn()
+	}
+	line.Str("id", f.info.Attempt).Str("outcome", f.outcome()).Int("status", f.result.status)
+	if f.route != nil {
+		line.Str("route", f.route.Name).Str("kind", f.route.Kind.String()).Str("service", string(f.service)).Str("account", string(f.account))
+	}
+	if f.view != nil {
+		line.Uint64("backends_revision", uint64(f.view.Revisions[banyanplank.TopicBackends]))
+		if f.view.Router != nil {
+			line.Uint64("routing", f.view.Router.Table().Version)
+		}
+	}
+	line.Strs("tried", names(f.tried)).Int("sends", f.sends).
+		Dur("waited", f.result.waited).Dur("first", f.result.first).Dur("total", time.Since(f.arrived)).
+		Int("prompt", f.info.Prompt)
+	if f.stream.events > 0 {
+		line.Int("events", f.stream.events).Str("last", f.stream.last)
+	}
+	if f.result.reason != "" {
+		line.Str("reason", f.result.reason)
+	}
+	if f.result.detail != "" {
+		line.Str("detail", f.result.detail)
+	}
+	line.Msg("call")
+}
+
+// names returns the ids of endpoints as text.
+func names(ids []banyanplank.BackendID) (text []string) {
+	for _, id := range ids {
+		text = append(text, string(id))
+	}
+	return text
+}
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"bytes"
+	"net/netip"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/state/loader"
+)
+
+// Settings is the TOML file of an entry that calls endpoints itself.
+type Settings struct {
+	// Name tells the entries apart.
+	Name   banyanplank.DaemonID `toml:"name"`
+	Zone   banyanplank.Zone     `toml:"zone"`
+	Region banyanplank.Region   `toml:"region"`
+	Listen Listen               `toml:"listen"`
+	// Platform is the address of the platform's store.
+	Platform netip.AddrPort `toml:"platform"`
+	Limits   Limits         `toml:"limits"`
+}
+
+// Listen holds the addresses that an entry serves.
+type Listen struct {
+	// Caller takes calls, Directory says which entries to call, and Ready
+	// answers the platform's checks.
+	Caller    netip.AddrPort `toml:"caller"`
+	Directory netip.AddrPort `toml:"directory"`
+	Ready     netip.AddrPort `toml:"ready"`
+	// Peer takes the heartbeats of the other entries.
+	Peer netip.AddrPort `toml:"peer"`
+	// Metrics serves counters. It may be absent.
+	Metrics netip.AddrPort `toml:"metrics"`
+}
+
+// Limits bounds what an entry uses and does.
+type Limits struct {
+	// Memory is the memory of the instance in bytes.
+	Memory int64 `toml:"memory"`
+	// Share, Slack and Span bound the repeats to one service by all entries: a
+	// share of its requests, and a number, in a span.
+	Share float64              `toml:"share"`
+	Slack int                  `toml:"slack"`
+	Span  banyanplank.Duration `toml:"span"`
+	// Grace is the time from SIGTERM to the end.
+	Grace banyanplank.Duration `toml:"grace"`
+	// Keep is the longest time for which callers keep the directory's answer.
+	Keep banyanplank.Duration `toml:"keep"`
+	// Stall is how long a group of ranks stands still when one is lost.
+	Stall banyanplank.Duration `toml:"stall"`
+}
+
+// Load reads and checks the settings file at path. The error is a
+// [*loader.Error] that lists every mistake.
+func Load(path string) (settings Settings, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return settings, &loader.Error{Mistakes: []loader.Mistake{{File: path, Key: "file", Reason: err.Error()}}}
+	}
+	return Parse(path, text)
+}
+
+// Parse reads and checks settings from text. File only serves messages.
+func Parse(file string, text []byte) (settings Settings, err error) {
+	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := decoder.Decode(&settings); err != nil {
+		return Settings{}, &loader.Error{Mistakes: mistakes(file, err)}
+	}
+	var found []loader.Mistake
+	for _, c := range settings.checks() {
+		if !c.ok {
+			found = append(found, loader.Mistake{File: file, Key: c.key, Reason: c.want})
+		}
+	}
+	if len(found) > 0 {
+		return Settings{}, &loader.Error{Mistakes: found}
+	}
+	return settings, nil
+}
+
+// mistakes turns an error of the decoder into mistakes.
+func mistakes(file string, err error) (found []loader.Mistake) {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		for _, e := range strict.Errors {
+			key := ""
+			for i, part := range e.Key() {
+				if i > 0 {
+					key += "."
+				}
+				key += part
+			}
+			found = append(found, loader.Mistake{File: file, Key: key, Reason: "no such setting"})
+		}
+		return found
+	}
+	return []loader.Mistake{{File: file, Key: "file", Reason: err.Error()}}
+}
+
+// check is one condition on the settings.
+type check struct {
+	key  string
+	ok   bool
+	want string
+}
+
+// checks lists the conditions on the settings.
+func (s *Settings) checks() (all []check) {
+	return []check{
+		{"name", s.Name != "", "is empty, want the name of this entry"},
+		{"zone", s.Zone != "", "is empty, want an availability zone"},
+		{"listen.caller", s.Listen.Caller.IsValid(), "want an address such as 10.0.0.1:8080"},
+		{"listen.directory", s.Listen.Directory.IsValid(), "want an address such as 10.0.0.1:8081"},
+		{"listen.ready", s.Listen.Ready.IsValid(), "want an address such as 10.0.0.1:8082"},
+		{"listen.peer", s.Listen.Peer.IsValid(), "want an address such as 10.0.0.1:8083"},
+		{"platform", s.Platform.IsValid(), "want the address of the platform's store"},
+		{"limits.memory", s.Limits.Memory >= 32<<20, "want at least 33554432 bytes"},
+		{"limits.share", s.Limits.Share >= 0, "want a share of at least 0"},
+		{"limits.slack", s.Limits.Slack >= 0, "want a number of at least 0"},
+		{"limits.span", s.Limits.Span > 0, "want a time above 0s"},
+		{"limits.grace", s.Limits.Grace > 0, "want a time above 0s"},
+		{"limits.keep", s.Limits.Keep > 0, "want a time above 0s"},
+	}
+}
--- a/daemon/log.go
+++ b/transport/logger/logger.go
@@ -1,4 +1,5 @@
-package daemon
+// Package logger writes log lines of key=value pairs and never blocks its callers.
+package logger
 
 import (
 	"fmt"
@@ -9,9 +10,9 @@
 	"github.com/phuslu/log"
 )
 
-// NewLogger returns a logger that writes one line of key=value pairs for each
+// New returns a logger that writes one line of key=value pairs for each
 // event to out.
-func NewLogger(out io.Writer) *log.Logger {
+func New(out io.Writer) *log.Logger {
 	return &log.Logger{
 		Level:      log.InfoLevel,
 		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
