Keep the ranks of a group even with maps that entries plan

Change: a stepper at the first live entry plans a map each 0.8 s and switches by prepare, hold, arm, release; an agent beside each model server passes on reports and orders, which are free from there.

--- /dev/null
+++ b/coordination/stepper/plan.go
@@ -0,0 +1,128 @@
+package stepper
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/planner"
+)
+
+// The prices of a plan.
+const (
+	// horizon is how long the demand is expected to last.
+	horizon = 4 * time.Second
+	// copySlowdown is how much longer passes take while weights are copied.
+	copySlowdown = 0.15
+	// leastGain is the least part of the step time that a plan must win. Each
+	// switch takes two orders a rank.
+	leastGain = 0.02
+	// nominalSteps is the steps a second that demand is scaled to.
+	nominalSteps = 100
+)
+
+// places holds the experts of a map by layer and rank.
+type places [][][]uint16
+
+// plan is a map and what it wins.
+type plan struct {
+	places places
+	// before and after are the heaviest over the mean rank, averaged over the
+	// layers.
+	before float64
+	after  float64
+	moved  bool
+}
+
+// makePlan returns a map for the demand that differs from the current one by at
+// most the spare experts of each rank and layer.
+func makePlan(spec *banyanplank.EngineSpec, current places, weight [][]float64, paces []float64) (p plan, err error) {
+	defer func() { err = errors.Wrap(err, "plan expert map") }()
+	for l, layer := range current {
+		next, result, err := planLayer(spec, layer, weight[l], paces)
+		if err != nil {
+			return plan{}, err
+		}
+		p.places = append(p.places, next)
+		p.before += result.SkewBefore / float64(len(current))
+		p.after += result.SkewAfter / float64(len(current))
+		p.moved = p.moved || result.Moving()
+	}
+	// The expert part of a step grows with the skew, the rest does not.
+	share := spec.ExpertShare
+	gain := share * (p.before - p.after) / (1 - share + share*p.before)
+	p.moved = p.moved && gain >= leastGain
+	return p, nil
+}
+
+// planLayer plans one layer by itself, because the spare experts of a rank are
+// counted by layer.
+func planLayer(spec *banyanplank.EngineSpec, current [][]uint16, weight []float64, paces []float64) (next [][]uint16, result planner.Plan, err error) {
+	shape := banyanplank.MapShape{Ranks: len(current), Layers: 1, Experts: spec.Experts, Slots: spec.Places}
+	input := planner.Input{
+		Map:        banyanplank.ExpertMap{ID: 1, Shape: shape, Places: flatten(current, shape)},
+		Popularity: banyanplank.Popularity{Shape: shape, Tokens: make([]float32, spec.Experts)},
+		Ranks:      make([]planner.Rank, len(current)),
+		Limits:     planner.Limits{Loads: spec.Spare * len(current), Staging: spec.Spare},
+		Next:       2,
+	}
+	total := 0.0
+	for e, w := range weight {
+		input.Popularity.Tokens[e] = float32(w)
+		total += w
+	}
+	for r, pace := range paces {
+		if pace > 1 {
+			input.Ranks[r].Speed = 1 / pace
+		}
+	}
+	if total == 0 {
+		return current, planner.Plan{SkewBefore: 1, SkewAfter: 1}, nil
+	}
+	mean := total / float64(len(current)) / nominalSteps
+	layerTime := spec.ExpertShare * spec.Step.Seconds() / float64(max(1, spec.Layers))
+	input.Prices = planner.Prices{
+		Fixed:   time.Duration((1 - spec.ExpertShare) * float64(spec.Step) / float64(max(1, spec.Layers))),
+		Token:   max(1, time.Duration(layerTime/mean*float64(time.Second))),
+		Steps:   nominalSteps,
+		Load:    time.Duration(copySlowdown * spec.Weight / max(1, spec.LinkRate) / float64(len(current)) * float64(time.Second)),
+		Horizon: horizon,
+	}
+	result, err = planner.Make(input)
+	if err != nil {
+		return nil, result, err
+	}
+	return unflatten(result.Map), result, nil
+}
+
+// flatten lays out the experts of a layer by rank and slot.
+func flatten(layer [][]uint16, shape banyanplank.MapShape) (slots []uint16) {
+	slots = make([]uint16, 0, shape.Places())
+	for _, experts := range layer {
+		for s := range shape.Slots {
+			if s < len(experts) {
+				slots = append(slots, experts[s])
+			} else {
+				slots = append(slots, banyanplank.NoExpert)
+			}
+		}
+	}
+	return slots
+}
+
+// unflatten returns the experts of a layer by rank.
+func unflatten(m banyanplank.ExpertMap) (layer [][]uint16) {
+	for r := range m.Shape.Ranks {
+		experts := []uint16{}
+		for _, e := range m.Places[r*m.Shape.Slots : (r+1)*m.Shape.Slots] {
+			if e != banyanplank.NoExpert {
+				experts = append(experts, e)
+			}
+		}
+		slices.Sort(experts)
+		layer = append(layer, experts)
+	}
+	return layer
+}
--- /dev/null
+++ b/coordination/stepper/stepper.go
@@ -0,0 +1,271 @@
+package stepper
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// The defaults of a Stepper.
+const (
+	// DefaultInterval is the time between two looks at the demand.
+	DefaultInterval = 800 * time.Millisecond
+	// leadBits is the width of the random part of a map id. Two entries that
+	// both believe to be the one that plans must not give one id to two maps.
+	leadBits = 16
+)
+
+// Fleet returns the services and endpoints as now known, and whether this entry
+// is the one that plans.
+type Fleet func() (pools []banyanplank.PoolSpec, backends []banyanplank.Backend, leads bool)
+
+// Note is a decision of a stepper, for the log.
+type Note struct {
+	Event   string
+	Service banyanplank.ServiceName
+	Epoch   uint64
+	Map     banyanplank.MapID
+	Step    uint64
+	// Before and After are the skew of the map in use and of the planned one.
+	Before float64
+	After  float64
+	Took   time.Duration
+	Err    error
+}
+
+// Option configures a [Stepper].
+type Option func(*Stepper)
+
+// WithInterval sets the time between two looks at the demand. The default is
+// [DefaultInterval].
+func WithInterval(interval time.Duration) Option {
+	return func(s *Stepper) { s.interval = interval }
+}
+
+// WithNotes calls note for each decision. The default drops them.
+func WithNotes(note func(n Note)) Option {
+	return func(s *Stepper) { s.note = note }
+}
+
+// Stepper keeps groups of ranks even. Run it once.
+type Stepper struct {
+	ranks    banyanplank.Ranks
+	fleet    Fleet
+	interval time.Duration
+	note     func(n Note)
+	terms    map[banyanplank.ServiceName]*term
+}
+
+// term is what is known of a group in one epoch.
+type term struct {
+	epoch  uint64
+	demand *demand
+	places places
+	id     banyanplank.MapID
+	last   banyanplank.MapID
+	step   uint64
+	at     time.Time
+	pass   time.Duration
+}
+
+// New returns a stepper for the groups of fleet.
+func New(ranks banyanplank.Ranks, fleet Fleet, options ...Option) *Stepper {
+	s := &Stepper{
+		ranks:    ranks,
+		fleet:    fleet,
+		interval: DefaultInterval,
+		note:     func(Note) {},
+		terms:    make(map[banyanplank.ServiceName]*term),
+	}
+	for _, option := range options {
+		option(s)
+	}
+	return s
+}
+
+// Run looks at the demand at every interval until ctx ends.
+func (s *Stepper) Run(ctx context.Context) (err error) {
+	for wait(ctx, s.interval) == nil {
+		pools, backends, leads := s.fleet()
+		if !leads {
+			clear(s.terms)
+			continue
+		}
+		for i := range pools {
+			if pools[i].Engine == nil || pools[i].Engine.Layers == 0 {
+				continue
+			}
+			if err := s.round(ctx, &pools[i], backends); err != nil && ctx.Err() == nil {
+				s.note(Note{Event: "round failed", Service: pools[i].Name, Err: err})
+			}
+		}
+	}
+	return nil
+}
+
+// round looks at one group, and brings a better map into use if there is one.
+func (s *Stepper) round(ctx context.Context, pool *banyanplank.PoolSpec, all []banyanplank.Backend) (err error) {
+	g, err := s.gather(ctx, pool.Name, all)
+	if err != nil {
+		return err
+	}
+	t := s.term(pool, g)
+	if err := g.settle(ctx); err != nil {
+		return err
+	}
+	if err := s.learn(ctx, t, g); err != nil {
+		return err
+	}
+	p, err := makePlan(pool.Engine, t.places, t.demand.weight, paces(g.reports))
+	if err != nil || !p.moved {
+		return err
+	}
+	return s.change(ctx, pool.Name, t, g, p)
+}
+
+// gather finds the ranks of the group in their order.
+func (s *Stepper) gather(ctx context.Context, service banyanplank.ServiceName, all []banyanplank.Backend) (g *group, err error) {
+	g = &group{ranks: s.ranks}
+	type seen struct {
+		backend *banyanplank.Backend
+		report  banyanplank.RankReport
+	}
+	work := pool.NewWithResults[seen]().WithErrors()
+	for i := range all {
+		if all[i].Service != service {
+			continue
+		}
+		work.Go(func() (found seen, err error) {
+			found.backend = &all[i]
+			found.report, err = s.ranks.Report(ctx, &all[i])
+			return found, err
+		})
+	}
+	found, err := work.Wait()
+	if len(found) == 0 {
+		return nil, errors.CombineErrors(errors.New("no rank answers"), err)
+	}
+	slices.SortFunc(found, func(a, b seen) int { return a.report.Rank - b.report.Rank })
+	for i, f := range found {
+		if f.report.Rank != i || f.report.Epoch != found[0].report.Epoch || !f.report.Open {
+			return nil, errMoved
+		}
+		g.backends = append(g.backends, f.backend)
+		g.reports = append(g.reports, f.report)
+	}
+	if len(found) != found[0].report.Size {
+		return nil, errors.Wrapf(errMoved, "%d of %d ranks answer", len(found), found[0].report.Size)
+	}
+	g.epoch = found[0].report.Epoch
+	return g, nil
+}
+
+// term returns what is known of the group, which is nothing in a new epoch.
+func (s *Stepper) term(pool *banyanplank.PoolSpec, g *group) (t *term) {
+	now, step := time.Now(), g.step()
+	t = s.terms[pool.Name]
+	if t == nil || t.epoch != g.epoch {
+		last := banyanplank.MapID(0)
+		if t != nil {
+			last = t.last
+		}
+		t = &term{epoch: g.epoch, last: last, demand: newDemand(pool.Engine.Layers, pool.Engine.Experts)}
+		s.terms[pool.Name] = t
+	} else if step > t.step {
+		t.pass = now.Sub(t.at) / time.Duration(step-t.step)
+	}
+	t.step, t.at = step, now
+	g.pass = t.pass
+	for _, r := range g.reports {
+		t.last = max(t.last, r.Map, r.Prepared, r.Armed)
+	}
+	return t
+}
+
+// learn reads the demand, and the map in use if it isn't known.
+func (s *Stepper) learn(ctx context.Context, t *term, g *group) (err error) {
+	if t.places == nil || t.id != g.reports[0].Map {
+		if err := s.learnPlaces(ctx, t, g); err != nil {
+			return err
+		}
+	}
+	counts := make([]banyanplank.RankCounts, len(g.backends))
+	work := pool.New().WithErrors()
+	for i, b := range g.backends {
+		work.Go(func() (err error) {
+			counts[i], err = s.ranks.Counts(ctx, b)
+			return err
+		})
+	}
+	if err := work.Wait(); err != nil {
+		return err
+	}
+	t.demand.age(time.Now())
+	for i, c := range counts {
+		t.demand.add(g.backends[i].ID, c)
+	}
+	return nil
+}
+
+// learnPlaces reads the map in use from all ranks.
+func (s *Stepper) learnPlaces(ctx context.Context, t *term, g *group) (err error) {
+	held := make([]banyanplank.RankPlaces, len(g.backends))
+	work := pool.New().WithErrors()
+	for i, b := range g.backends {
+		work.Go(func() (err error) {
+			held[i], err = s.ranks.Places(ctx, b)
+			return err
+		})
+	}
+	if err := work.Wait(); err != nil {
+		return err
+	}
+	layers := len(t.demand.weight)
+	p := make(places, layers)
+	for _, h := range held {
+		if h.Map != held[0].Map || len(h.Places) != layers {
+			return errors.Newf("a rank has map %d with %d layers, another map %d", h.Map, len(h.Places), held[0].Map)
+		}
+		for l := range p {
+			p[l] = append(p[l], h.Places[l])
+		}
+	}
+	t.places, t.id = p, held[0].Map
+	return nil
+}
+
+// paces returns how much slower than usual each rank is.
+func paces(reports []banyanplank.RankReport) (all []float64) {
+	for _, r := range reports {
+		all = append(all, r.Pace)
+	}
+	return all
+}
+
+// change brings a planned map into use.
+func (s *Stepper) change(ctx context.Context, service banyanplank.ServiceName, t *term, g *group, p plan) (err error) {
+	began := time.Now()
+	id := nextID(t.last)
+	t.last = id
+	if err = g.prepare(ctx, id, p.places); err == nil {
+		err = g.adopt(ctx, id)
+	}
+	if err == nil {
+		t.places, t.id = p.places, id
+	} else {
+		t.places = nil
+	}
+	s.note(Note{Event: "map switch", Service: service, Epoch: g.epoch, Map: id, Step: g.step(), Before: p.before, After: p.after, Took: time.Since(began), Err: err})
+	return nil
+}
+
+// nextID returns an id above last that no other entry draws.
+func nextID(last banyanplank.MapID) (id banyanplank.MapID) {
+	return (last>>leadBits+1)<<leadBits | banyanplank.MapID(rand.N(1<<leadBits))
+}
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/balancer"
 	"github.com/banyanplank/banyanplank/coordination/beater"
+	"github.com/banyanplank/banyanplank/coordination/stepper"
 	"github.com/banyanplank/banyanplank/coordination/surveyor"
 	"github.com/banyanplank/banyanplank/state/follower"
 	"github.com/banyanplank/banyanplank/transport/requester"
@@ -56,6 +58,7 @@
 	balancer  *balancer.Balancer
 	logger    *log.Logger
 	loop      *banyanplank.Loop
+	stepper   *stepper.Stepper
 	beats     atomic.Uint64
 	directory http.Handler
 	ready     http.Handler
@@ -63,7 +66,7 @@
 
 // New returns a daemon that has not started. Dialect is how the platform's
 // callers and endpoints speak.
-func New(settings Settings, discovery banyanplank.Discovery, dialect banyanplank.Dialect, logger *log.Logger) (d *Daemon) {
+func New(settings Settings, discovery banyanplank.Discovery, dialect banyanplank.Dialect, ranks banyanplank.Ranks, logger *log.Logger) (d *Daemon) {
 	d = &Daemon{
 		settings:  settings,
 		discovery: discovery,
@@ -90,6 +93,7 @@
 		counters:  newCounters(),
 		stall:     time.Duration(limits.Stall),
 	}
+	d.stepper = stepper.New(ranks, d.fleet, stepper.WithNotes(d.noteStep))
 	d.loop = banyanplank.NewLoop(model, executor{d}, banyanplank.WithTick(surveyor.TickInterval), banyanplank.WithAfter(d.publish))
 	d.directory, d.ready = http.NotFoundHandler(), http.NotFoundHandler()
 	return d
@@ -144,6 +148,25 @@
 		Uint64("revision", uint64(n.Revision)).Dur("age", n.Age).Msg(n.Event)
 }
 
+// fleet returns what the stepper needs to know.
+func (d *Daemon) fleet() (pools []banyanplank.PoolSpec, backends []banyanplank.Backend, leads bool) {
+	snapshot := d.view.Load()
+	if snapshot.Router == nil || len(snapshot.Entries) == 0 {
+		return nil, nil, false
+	}
+	return snapshot.Router.Table().Pools, slices.Clone(snapshot.Backends), snapshot.Entries[0].ID == d.member.ID
+}
+
+// noteStep logs a decision on expert maps.
+func (d *Daemon) noteStep(n stepper.Note) {
+	line := d.logger.Info()
+	if n.Err != nil {
+		line = d.logger.Warn().Err(n.Err)
+	}
+	line.Str("service", string(n.Service)).Uint64("epoch", n.Epoch).Uint64("map", uint64(n.Map)).Uint64("step", n.Step).
+		Float64("before", n.Before).Float64("after", n.After).Dur("took", n.Took).Msg(n.Event)
+}
+
 // Advise returns the addresses that a caller in zone should use, and how long
 // to keep them.
 func (d *Daemon) Advise(zone banyanplank.Zone) (addresses []netip.AddrPort, keep time.Duration) {
@@ -186,6 +209,7 @@
 // start begins the control loop, the heartbeats and the following of topics.
 func (d *Daemon) start(work *pool.ContextPool) {
 	work.Go(d.loop.Run)
+	work.Go(d.stepper.Run)
 	b := beater.New(d.settings.Listen.Peer, d.compose, d.hear, d.failBeat)
 	work.Go(b.Run)
 	f := follower.New(d.discovery, func(msg banyanplank.Msg) { d.loop.Send(context.Background(), msg) })
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -33,6 +33,9 @@
 	Ready     netip.AddrPort `toml:"ready"`
 	// Peer takes the heartbeats of the other entries.
 	Peer netip.AddrPort `toml:"peer"`
+	// Agent is the port at which the agents beside model servers listen, on the
+	// servers' own addresses. It may be absent.
+	Agent uint16 `toml:"agent"`
 	// Metrics serves counters. It may be absent.
 	Metrics netip.AddrPort `toml:"metrics"`
 }
