Finish a map switch that stands still, and follow the demand faster

Ruled out: a second planner, versions used twice. Change: a held pass is released only when all ranks are armed; hold, arm and release go straight from the entry, so that a lost giver is replaced by the next entry, which finishes the switch. Besides, the demand is read every 0.4 s and forgotten when it shifts, the held pass is 120 ms ahead, and weights move only as far as passes are long.

--- a/coordination/stepper/plan.go
+++ b/coordination/stepper/plan.go
@@ -16,9 +16,15 @@
 	horizon = 4 * time.Second
 	// copySlowdown is how much longer passes take while weights are copied.
 	copySlowdown = 0.15
-	// leastGain is the least part of the step time that a plan must win. Each
-	// switch takes two orders a rank.
-	leastGain = 0.02
+	// leastGain is the least part of the step time that a plan must win while
+	// passes take long, and idleGain while they are short: callers don't notice
+	// then, and weights are moved in vain.
+	leastGain = 0.03
+	idleGain  = 0.25
+	// shortPass and longPass are the parts of the longest pause that callers
+	// take as on time, below and above which passes are short and long.
+	shortPass = 0.35
+	longPass  = 0.6
 	// nominalSteps is the steps a second that demand is scaled to.
 	nominalSteps = 100
 )
@@ -33,7 +39,9 @@
 	// layers.
 	before float64
 	after  float64
-	moved  bool
+	// gain is the part of the step time that the map wins.
+	gain  float64
+	moved bool
 }
 
 // makePlan returns a map for the demand that differs from the current one by at
@@ -52,11 +60,20 @@
 	}
 	// The expert part of a step grows with the skew, the rest does not.
 	share := spec.ExpertShare
-	gain := share * (p.before - p.after) / (1 - share + share*p.before)
-	p.moved = p.moved && gain >= leastGain
+	p.gain = share * (p.before - p.after) / (1 - share + share*p.before)
 	return p, nil
 }
 
+// worthwhile returns the gain from which on a plan is worth its moves, by how
+// long passes take of the longest pause on time.
+func worthwhile(pass, gap time.Duration) (gain float64) {
+	if pass == 0 || gap == 0 {
+		return leastGain
+	}
+	used := (float64(pass)/float64(gap) - shortPass) / (longPass - shortPass)
+	return idleGain + (leastGain-idleGain)*min(1, max(0, used))
+}
+
 // planLayer plans one layer by itself, because the spare experts of a rank are
 // counted by layer.
 func planLayer(spec *banyanplank.EngineSpec, current [][]uint16, weight []float64, paces []float64) (next [][]uint16, result planner.Plan, err error) {
@@ -87,7 +104,7 @@
 		Fixed:   time.Duration((1 - spec.ExpertShare) * float64(spec.Step) / float64(max(1, spec.Layers))),
 		Token:   max(1, time.Duration(layerTime/mean*float64(time.Second))),
 		Steps:   nominalSteps,
-		Load:    time.Duration(copySlowdown * spec.Weight / max(1, spec.LinkRate) / float64(len(current)) * float64(time.Second)),
+		Load:    time.Duration(copySlowdown * spec.Weight / max(1, spec.LinkRate) * float64(time.Second)),
 		Horizon: horizon,
 	}
 	result, err = planner.Make(input)
--- a/coordination/stepper/stepper.go
+++ b/coordination/stepper/stepper.go
@@ -15,15 +15,15 @@
 // The defaults of a Stepper.
 const (
 	// DefaultInterval is the time between two looks at the demand.
-	DefaultInterval = 800 * time.Millisecond
+	DefaultInterval = 400 * time.Millisecond
 	// leadBits is the width of the random part of a map id. Two entries that
 	// both believe to be the one that plans must not give one id to two maps.
 	leadBits = 16
 )
 
-// Fleet returns the services and endpoints as now known, and whether this entry
-// is the one that plans.
-type Fleet func() (pools []banyanplank.PoolSpec, backends []banyanplank.Backend, leads bool)
+// Fleet returns the routes and endpoints as now known, and whether this entry is
+// the one that plans. The table is nil when none is known.
+type Fleet func() (table *banyanplank.RoutingTable, backends []banyanplank.Backend, leads bool)
 
 // Note is a decision of a stepper, for the log.
 type Note struct {
@@ -92,17 +92,18 @@
 // Run looks at the demand at every interval until ctx ends.
 func (s *Stepper) Run(ctx context.Context) (err error) {
 	for wait(ctx, s.interval) == nil {
-		pools, backends, leads := s.fleet()
-		if !leads {
+		table, backends, leads := s.fleet()
+		if !leads || table == nil {
 			clear(s.terms)
 			continue
 		}
-		for i := range pools {
-			if pools[i].Engine == nil || pools[i].Engine.Layers == 0 {
+		for i := range table.Pools {
+			pool := &table.Pools[i]
+			if pool.Engine == nil || pool.Engine.Layers == 0 {
 				continue
 			}
-			if err := s.round(ctx, &pools[i], backends); err != nil && ctx.Err() == nil {
-				s.note(Note{Event: "round failed", Service: pools[i].Name, Err: err})
+			if err := s.round(ctx, pool, table.GapOf(pool.Name), backends); err != nil && ctx.Err() == nil {
+				s.note(Note{Event: "round failed", Service: pool.Name, Err: err})
 			}
 		}
 	}
@@ -110,7 +111,7 @@
 }
 
 // round looks at one group, and brings a better map into use if there is one.
-func (s *Stepper) round(ctx context.Context, pool *banyanplank.PoolSpec, all []banyanplank.Backend) (err error) {
+func (s *Stepper) round(ctx context.Context, pool *banyanplank.PoolSpec, gap time.Duration, all []banyanplank.Backend) (err error) {
 	g, err := s.gather(ctx, pool.Name, all)
 	if err != nil {
 		return err
@@ -123,7 +124,7 @@
 		return err
 	}
 	p, err := makePlan(pool.Engine, t.places, t.demand.weight, paces(g.reports))
-	if err != nil || !p.moved {
+	if err != nil || !p.moved || p.gain < worthwhile(t.pass, gap) {
 		return err
 	}
 	return s.change(ctx, pool.Name, t, g, p)
@@ -206,10 +207,10 @@
 	if err := work.Wait(); err != nil {
 		return err
 	}
-	t.demand.age(time.Now())
 	for i, c := range counts {
 		t.demand.add(g.backends[i].ID, c)
 	}
+	t.demand.turn(time.Now())
 	return nil
 }
 
--- a/coordination/stepper/switch.go
+++ b/coordination/stepper/switch.go
@@ -16,10 +16,10 @@
 	prepareLimit = 4 * time.Second
 	// armLead is how far ahead the held pass is. The orders to all ranks take a
 	// few round trips.
-	armLead = 350 * time.Millisecond
-	// armLimit bounds the time in which all ranks are armed. Callers leave a
-	// stream after two seconds without an event.
-	armLimit = 1500 * time.Millisecond
+	armLead = 120 * time.Millisecond
+	// armLimit bounds the time for which a round tries to arm all ranks. The next
+	// round goes on with it.
+	armLimit = 10 * time.Second
 	// releaseLimit bounds the time for which a pass that must be released is
 	// ordered again.
 	releaseLimit = 10 * time.Second
@@ -27,7 +27,10 @@
 	// first.
 	retryPause = 100 * time.Millisecond
 	// leastAhead is the least number of passes by which the held pass is ahead.
-	leastAhead = 4
+	leastAhead = 2
+	// holdTries bounds the holds that get no answer. One that is carried out
+	// late finds that its pass has begun.
+	holdTries = 4
 )
 
 // errMoved means that the group was formed anew, or that its ranks are not those
@@ -149,20 +152,35 @@
 // adopt brings a map that all ranks have prepared into use.
 func (g *group) adopt(ctx context.Context, id banyanplank.MapID) (err error) {
 	defer func() { err = errors.Wrapf(err, "switch to map %d", id) }()
-	if err := g.refresh(ctx); err != nil {
-		return err
-	}
-	step := g.step() + max(leastAhead, uint64(armLead/max(time.Millisecond, g.pass)))
-	hold := banyanplank.RankOrder{Kind: banyanplank.RankHold, Epoch: g.epoch, Step: step}
-	if err := g.ranks.Order(ctx, g.backends[0], hold); err != nil {
-		// The order may still have been carried out.
+	step, err := g.hold(ctx)
+	if err != nil {
+		// An order may still have been carried out.
 		return errors.CombineErrors(err, g.settle(ctx))
 	}
-	armed := g.arm(ctx, id, step)
-	if armed != nil && !errors.Is(armed, errMoved) {
-		armed = errors.CombineErrors(armed, g.disarm(ctx, id))
+	// Some rank may be armed, or may still get an order that was lost on its
+	// way. So the pass is released only when all are.
+	if err := g.arm(ctx, id, step); err != nil {
+		return err
+	}
+	return g.release(ctx, g.backends[0], step)
+}
+
+// hold keeps the group from beginning a pass some way ahead.
+func (g *group) hold(ctx context.Context) (step uint64, err error) {
+	for range holdTries {
+		if err := g.refresh(ctx); err != nil {
+			return 0, err
+		}
+		if g.reports[0].Held > g.step() {
+			return g.reports[0].Held, nil
+		}
+		step = g.step() + max(leastAhead, uint64(armLead/max(time.Millisecond, g.pass))+1)
+		err = g.ranks.Order(ctx, g.backends[0], banyanplank.RankOrder{Kind: banyanplank.RankHold, Epoch: g.epoch, Step: step})
+		if err == nil {
+			return step, nil
+		}
 	}
-	return errors.CombineErrors(armed, g.release(ctx, g.backends[0], step))
+	return 0, err
 }
 
 // arm arms all ranks for a pass that is held.
@@ -172,13 +190,6 @@
 	return errors.Wrap(err, "arm")
 }
 
-// disarm takes back what was armed for a pass that is held.
-func (g *group) disarm(ctx context.Context, id banyanplank.MapID) (err error) {
-	order := banyanplank.RankOrder{Kind: banyanplank.RankDisarm, Epoch: g.epoch, Map: id}
-	err = g.all(ctx, order, releaseLimit, func(r banyanplank.RankReport) bool { return r.Armed != 0 })
-	return errors.Wrap(err, "disarm")
-}
-
 // release lets the group begin a held pass.
 func (g *group) release(ctx context.Context, holder *banyanplank.Backend, step uint64) (err error) {
 	defer func() { err = errors.Wrapf(err, "release pass %d", step) }()
@@ -217,23 +228,19 @@
 	return nil
 }
 
-// finish arms all ranks for a held pass, if they all have the same map prepared.
+// finish arms all ranks for a held pass, if they all have the same map at hand.
+// If they don't, none was armed.
 func (g *group) finish(ctx context.Context, step uint64) (err error) {
 	id := g.reports[0].Prepared
 	for _, r := range g.reports {
-		if r.Prepared != id || id == 0 {
-			return g.disarmAll(ctx)
+		if r.Armed != 0 {
+			id = r.Armed
 		}
 	}
-	return g.arm(ctx, id, step)
-}
-
-// disarmAll takes back what some ranks are armed with.
-func (g *group) disarmAll(ctx context.Context) (err error) {
 	for _, r := range g.reports {
-		if r.Armed != 0 {
-			return g.disarm(ctx, r.Armed)
+		if id == 0 || (r.Prepared != id && r.Armed != id) {
+			return nil
 		}
 	}
-	return nil
+	return g.arm(ctx, id, step)
 }
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -149,12 +149,12 @@
 }
 
 // fleet returns what the stepper needs to know.
-func (d *Daemon) fleet() (pools []banyanplank.PoolSpec, backends []banyanplank.Backend, leads bool) {
+func (d *Daemon) fleet() (table *banyanplank.RoutingTable, backends []banyanplank.Backend, leads bool) {
 	snapshot := d.view.Load()
 	if snapshot.Router == nil || len(snapshot.Entries) == 0 {
 		return nil, nil, false
 	}
-	return snapshot.Router.Table().Pools, slices.Clone(snapshot.Backends), snapshot.Entries[0].ID == d.member.ID
+	return snapshot.Router.Table(), slices.Clone(snapshot.Backends), snapshot.Entries[0].ID == d.member.ID
 }
 
 // noteStep logs a decision on expert maps.
--- a/route.go
+++ b/route.go
@@ -143,6 +143,19 @@
 	return nil
 }
 
+// GapOf returns the shortest time between two events that some route to a
+// service takes as on time, or zero.
+func (t *RoutingTable) GapOf(service ServiceName) (gap time.Duration) {
+	for _, r := range t.Routes {
+		for _, s := range r.Splits {
+			if s.Service == service && r.Gap > 0 && (gap == 0 || r.Gap < gap) {
+				gap = r.Gap
+			}
+		}
+	}
+	return gap
+}
+
 // BackendID names one endpoint in the platform's service discovery.
 type BackendID string
 
