Watch the platform from one entry a zone

Change: the first entry of each zone that can watches; heartbeats carry the revision up to which changes are known, and the others ask when they are behind. Every fifth heartbeat crosses zones.

--- a/coordination/balancer/balancer.go
+++ b/coordination/balancer/balancer.go
@@ -9,9 +9,9 @@
 	"github.com/banyanplank/banyanplank"
 )
 
-// peerAge is how old the word of a peer on its calls in flight may be. Peers
-// speak several times a second.
-const peerAge = time.Second
+// peerAge is how old the word of a peer on its calls in flight may be. It allows
+// for a lost heartbeat of a peer in another zone.
+const peerAge = 1600 * time.Millisecond
 
 // Option configures a [Balancer].
 type Option func(*Balancer)
@@ -44,6 +44,8 @@
 	span   time.Duration
 	pools  map[banyanplank.ServiceName]*pool
 	peers  map[banyanplank.DaemonID]peerWord
+	// others counts the calls of all peers by endpoint.
+	others map[banyanplank.BackendID]int
 }
 
 // peerWord is what a peer said of its calls in flight.
@@ -61,6 +63,7 @@
 		span:   10 * time.Second,
 		pools:  make(map[banyanplank.ServiceName]*pool),
 		peers:  make(map[banyanplank.DaemonID]peerWord),
+		others: make(map[banyanplank.BackendID]int),
 	}
 	for _, option := range options {
 		option(b)
@@ -119,25 +122,30 @@
 func (b *Balancer) Hear(now time.Time, peer banyanplank.DaemonID, inFlight map[banyanplank.BackendID]int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.shift(b.peers[peer].inFlight, -1)
+	b.shift(inFlight, 1)
 	b.peers[peer] = peerWord{at: now, inFlight: inFlight}
-	others := make(map[banyanplank.BackendID]int)
 	for id, word := range b.peers {
 		if now.Sub(word.at) > peerAge {
+			b.shift(word.inFlight, -1)
 			delete(b.peers, id)
-			continue
-		}
-		for backend, n := range word.inFlight {
-			others[backend] += n
 		}
 	}
 	for _, p := range b.pools {
-		for _, s := range p.seats {
-			s.others = others[s.backend.ID]
-		}
 		p.dispatch(now)
 	}
 }
 
+// shift adds calls of a peer to what the endpoints hold, or takes them away.
+func (b *Balancer) shift(inFlight map[banyanplank.BackendID]int, sign int) {
+	for id, n := range inFlight {
+		b.others[id] += sign * n
+		if b.others[id] == 0 {
+			delete(b.others, id)
+		}
+	}
+}
+
 // InFlight returns the own calls in flight by endpoint, for the peers.
 func (b *Balancer) InFlight() (inFlight map[banyanplank.BackendID]int) {
 	b.mutex.Lock()
--- a/coordination/balancer/seat.go
+++ b/coordination/balancer/seat.go
@@ -34,9 +34,8 @@
 	backend *banyanplank.Backend
 	// out tells that the endpoint's zone is out of service.
 	out bool
-	// own and others are the calls in flight.
-	own    int
-	others int
+	// own counts the calls of this entry in flight.
+	own int
 	// unread is the prompt tokens of calls that have no first event yet.
 	unread int
 	// failures is the share of calls that failed lately, latency how long the
@@ -71,7 +70,9 @@
 const returnCold = 3 * time.Second
 
 // held returns the calls that the endpoint has, as far as known.
-func (s *seat) held() (calls float64) { return float64(s.own + s.others) }
+func (s *seat) held() (calls float64) {
+	return float64(s.own + s.pool.owner.others[s.backend.ID])
+}
 
 // isUsable reports whether the endpoint may get work when it has room.
 func (s *seat) isUsable(now time.Time) bool {
--- a/coordination/beater/beat.go
+++ b/coordination/beater/beat.go
@@ -22,9 +22,11 @@
 	Caller      netip.AddrPort          `json:"caller"`
 	// Ready tells that the sender takes new callers.
 	Ready bool `json:"ready"`
+	// Blind tells that the sender can't follow the platform's topics.
+	Blind bool `json:"blind,omitempty"`
 	// InFlight counts the sender's calls by endpoint.
 	InFlight map[banyanplank.BackendID]int `json:"calls,omitempty"`
-	// Revisions tells how far the sender knows each topic.
+	// Revisions tells up to where the sender knows changes of each topic.
 	Revisions map[banyanplank.Topic]banyanplank.Version `json:"revisions,omitempty"`
 }
 
--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -20,6 +20,9 @@
 	TickInterval = 200 * time.Millisecond
 	// aliveAge is how old the last heartbeat of a live entry may be.
 	aliveAge = 1200 * time.Millisecond
+	// farAge is the same for entries of other availability zones, which send
+	// fewer heartbeats across.
+	farAge = 2 * time.Second
 	// returnGrace is how long an endpoint that the platform no longer lists
 	// after an outage of its store may take to register again.
 	returnGrace = 2 * time.Second
@@ -72,6 +75,11 @@
 	// Alive counts the entries that live, this one included.
 	Alive     int
 	Revisions map[banyanplank.Topic]banyanplank.Version
+	// Blind tells that the platform's topics can't be followed.
+	Blind bool
+	// Watches tells that this entry is one of those that watch the platform:
+	// the first of its zone that can.
+	Watches bool
 	// Ready tells that this entry may take new callers.
 	Ready bool
 }
@@ -109,15 +117,18 @@
 	// heard is when the last heartbeat came.
 	heard time.Time
 	ready bool
+	blind bool
 	alive bool
 }
 
 // topic is how far a topic is known.
 type topic struct {
 	revision banyanplank.Version
-	listed   bool
-	lost     bool
-	resumed  time.Time
+	// changed is the revision at which the latest changes were known.
+	changed banyanplank.Version
+	listed  bool
+	lost    bool
+	resumed time.Time
 }
 
 // NewModel returns the control state of the entry self, which knows nothing.
@@ -182,6 +193,9 @@
 		return false
 	}
 	first := !t.listed
+	if first || len(msg.Entries) > 0 {
+		t.changed = msg.Revision
+	}
 	t.revision, t.listed = msg.Revision, true
 	if msg.Resumed {
 		t.resumed = now
@@ -357,11 +371,11 @@
 		return false
 	}
 	s.heard = now
-	changed = !s.alive || s.ready != beat.Ready
+	changed = !s.alive || s.ready != beat.Ready || s.blind != beat.Blind
 	if !s.alive {
 		m.note(NoteCmd{Event: "peer heard", Topic: banyanplank.TopicMembers, Key: string(beat.From)})
 	}
-	s.alive, s.ready = true, beat.Ready
+	s.alive, s.ready, s.blind = true, beat.Ready, beat.Blind
 	return changed
 }
 
@@ -375,7 +389,7 @@
 		}
 	}
 	for id, s := range m.members {
-		if s.alive && now.Sub(s.heard) > aliveAge {
+		if s.alive && now.Sub(s.heard) > m.ageOf(s) {
 			s.alive = false
 			changed = true
 			m.note(NoteCmd{Event: "peer silent", Topic: banyanplank.TopicMembers, Key: string(id), Age: now.Sub(s.heard)})
@@ -385,6 +399,14 @@
 	return changed
 }
 
+// ageOf returns how old the last heartbeat of a live entry may be.
+func (m *Model) ageOf(s *membership) (age time.Duration) {
+	if s.member.Zone == m.self.Zone {
+		return aliveAge
+	}
+	return farAge
+}
+
 // tend keeps the platform's list of entries up to date.
 func (m *Model) tend(now time.Time) {
 	if !m.registered && !m.draining && now.Sub(m.asked) >= registerPause {
@@ -433,7 +455,8 @@
 		s.Out[zone] = true
 	}
 	for name, t := range m.topics {
-		s.Revisions[name] = t.revision
+		s.Revisions[name] = t.changed
+		s.Blind = s.Blind || t.lost
 	}
 	for _, l := range m.listed {
 		s.Backends = append(s.Backends, l.backend)
@@ -443,7 +466,11 @@
 	if s.Ready {
 		s.Entries = append(s.Entries, m.self)
 	}
+	s.Watches = true
 	for _, member := range m.members {
+		if member.alive && !member.blind && member.member.Zone == m.self.Zone && member.member.ID < m.self.ID {
+			s.Watches = false
+		}
 		s.Peers = append(s.Peers, member.member)
 		if member.alive {
 			s.Alive++
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -39,6 +39,10 @@
 	idleTimeout = 2 * time.Minute
 )
 
+// farEvery is how many heartbeats go to the own zone for each that crosses to
+// another one. Bytes between zones cost the operators.
+const farEvery = 5
+
 // The stop of an entry.
 const (
 	// drainShare is the part of the grace during which a stopping entry takes
@@ -59,6 +63,7 @@
 	logger    *log.Logger
 	loop      *banyanplank.Loop
 	stepper   *stepper.Stepper
+	follower  *follower.Follower
 	beats     atomic.Uint64
 	directory http.Handler
 	ready     http.Handler
@@ -95,6 +100,9 @@
 	}
 	d.stepper = stepper.New(ranks, d.fleet, stepper.WithNotes(d.noteStep))
 	d.loop = banyanplank.NewLoop(model, executor{d}, banyanplank.WithTick(surveyor.TickInterval), banyanplank.WithAfter(d.publish))
+	d.follower = follower.New(discovery,
+		func(msg banyanplank.Msg) { d.loop.Send(context.Background(), msg) },
+		follower.WithWatcher(func() bool { return d.view.Load().Watches }))
 	d.directory, d.ready = http.NotFoundHandler(), http.NotFoundHandler()
 	return d
 }
@@ -212,10 +220,9 @@
 	work.Go(d.stepper.Run)
 	b := beater.New(d.settings.Listen.Peer, d.compose, d.hear, d.failBeat)
 	work.Go(b.Run)
-	f := follower.New(d.discovery, func(msg banyanplank.Msg) { d.loop.Send(context.Background(), msg) })
 	for _, topic := range []banyanplank.Topic{banyanplank.TopicRouting, banyanplank.TopicBackends, banyanplank.TopicZonesOut, banyanplank.TopicMembers} {
 		work.Go(func(ctx context.Context) error {
-			f.Follow(ctx, topic)
+			d.follower.Follow(ctx, topic)
 			return nil
 		})
 	}
@@ -279,17 +286,21 @@
 // compose returns the next heartbeat and who gets it.
 func (d *Daemon) compose() (beat *beater.Beat, peers []netip.AddrPort) {
 	snapshot := d.view.Load()
+	sequence := d.beats.Add(1)
 	for _, m := range snapshot.Peers {
-		peers = append(peers, m.Peer)
+		if m.Zone == d.member.Zone || sequence%farEvery == 0 {
+			peers = append(peers, m.Peer)
+		}
 	}
 	return &beater.Beat{
 		From:        d.member.ID,
 		Incarnation: d.member.Incarnation,
-		Sequence:    d.beats.Add(1),
+		Sequence:    sequence,
 		Zone:        d.member.Zone,
 		Peer:        d.member.Peer,
 		Caller:      d.member.Caller,
 		Ready:       snapshot.Ready,
+		Blind:       snapshot.Blind,
 		InFlight:    d.balancer.InFlight(),
 		Revisions:   snapshot.Revisions,
 	}, peers
@@ -298,6 +309,9 @@
 // hear takes in the heartbeat of a peer.
 func (d *Daemon) hear(beat *beater.Beat) {
 	d.balancer.Hear(time.Now(), beat.From, beat.InFlight)
+	for topic, revision := range beat.Revisions {
+		d.follower.Hint(topic, revision)
+	}
 	d.loop.Send(context.Background(), surveyor.HeardMsg{Beat: beat})
 }
 
--- a/state/follower/follower.go
+++ b/state/follower/follower.go
@@ -4,11 +4,16 @@
 //
 //	f := follower.New(discovery, func(msg banyanplank.Msg) { loop.Send(ctx, msg) })
 //	f.Follow(ctx, banyanplank.TopicBackends)
+//
+// A waiting call counts against the platform's limits. So only some daemons
+// watch; the others ask for changes when a hint from a peer says that there are
+// some.
 package follower
 
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,10 +25,16 @@
 const (
 	// DefaultWait is how long one call waits for changes. A connection that
 	// has gone silent is noticed after it.
-	DefaultWait = 2500 * time.Millisecond
+	DefaultWait = 2 * time.Second
 	// DefaultPause is the longest pause after a failed call. It bounds the
 	// calls of a daemon that the platform turns away to four a second and topic.
 	DefaultPause = 250 * time.Millisecond
+	// DefaultPoll is how long a daemon that doesn't watch goes without asking.
+	DefaultPoll = 10 * time.Second
+	// settle is how long to wait after a hint, since changes come in series.
+	settle = 60 * time.Millisecond
+	// recheck is how often a daemon looks whether it has to watch.
+	recheck = 200 * time.Millisecond
 )
 
 // TopicMsg tells what is new in a topic.
@@ -60,26 +71,80 @@
 	return func(f *Follower) { f.pause = pause }
 }
 
+// WithWatcher asks watches whether this daemon is one of those that watch. The
+// default is that it is.
+func WithWatcher(watches func() bool) Option {
+	return func(f *Follower) { f.watches = watches }
+}
+
 // Follower follows topics. Its methods may be called from many goroutines.
 type Follower struct {
 	discovery banyanplank.Discovery
 	send      func(msg banyanplank.Msg)
 	wait      time.Duration
 	pause     time.Duration
+	watches   func() bool
+	mutex     sync.Mutex
+	hints     map[banyanplank.Topic]*hint
+}
+
+// hint is the revision up to which peers know changes of a topic.
+type hint struct {
+	revision banyanplank.Version
+	news     chan struct{}
 }
 
 // New returns a follower that hands its messages to send.
 func New(discovery banyanplank.Discovery, send func(msg banyanplank.Msg), options ...Option) *Follower {
-	f := &Follower{discovery: discovery, send: send, wait: DefaultWait, pause: DefaultPause}
+	f := &Follower{
+		discovery: discovery,
+		send:      send,
+		wait:      DefaultWait,
+		pause:     DefaultPause,
+		watches:   func() bool { return true },
+		hints:     make(map[banyanplank.Topic]*hint),
+	}
 	for _, option := range options {
 		option(f)
 	}
 	return f
 }
 
+// Hint tells that a peer knows a topic up to a revision.
+func (f *Follower) Hint(topic banyanplank.Topic, revision banyanplank.Version) {
+	h := f.hint(topic)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if revision <= h.revision {
+		return
+	}
+	h.revision = revision
+	select {
+	case h.news <- struct{}{}:
+	default:
+	}
+}
+
+// hint returns what peers know of a topic.
+func (f *Follower) hint(topic banyanplank.Topic) (h *hint) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.hints[topic] == nil {
+		f.hints[topic] = &hint{news: make(chan struct{}, 1)}
+	}
+	return f.hints[topic]
+}
+
+// hinted returns the revision up to which peers know a topic.
+func (f *Follower) hinted(h *hint) (revision banyanplank.Version) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return h.revision
+}
+
 // Follow follows a topic until ctx ends.
 func (f *Follower) Follow(ctx context.Context, topic banyanplank.Topic) {
-	c := cursor{Follower: f, topic: topic}
+	c := cursor{Follower: f, topic: topic, hint: f.hint(topic)}
 	for ctx.Err() == nil {
 		if err := c.advance(ctx); err != nil {
 			c.fail(ctx, err)
@@ -91,16 +156,24 @@
 type cursor struct {
 	*Follower
 	topic    banyanplank.Topic
+	hint     *hint
 	revision banyanplank.Version
+	asked    time.Time
 	listed   bool
 	lost     bool
 }
 
 // advance makes one call and passes on what it brought.
 func (c *cursor) advance(ctx context.Context) (err error) {
+	wait := c.wait
+	if c.listed && !c.watches() {
+		c.idle(ctx)
+		wait = 0
+	}
+	c.asked = time.Now()
 	msg := TopicMsg{Topic: c.topic, Whole: !c.listed, Resumed: c.lost, Sent: time.Now()}
 	if c.listed {
-		msg.Entries, msg.Revision, err = c.discovery.Changes(ctx, c.topic, c.revision, c.wait)
+		msg.Entries, msg.Revision, err = c.discovery.Changes(ctx, c.topic, c.revision, wait)
 	} else {
 		msg.Entries, msg.Revision, err = c.discovery.List(ctx, c.topic)
 	}
@@ -112,6 +185,21 @@
 	return nil
 }
 
+// idle waits until there are changes to ask for, or this daemon has to watch.
+func (c *cursor) idle(ctx context.Context) {
+	ticker := time.NewTicker(recheck)
+	defer ticker.Stop()
+	for c.hinted(c.hint) <= c.revision && time.Since(c.asked) < DefaultPoll && !c.watches() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-c.hint.news:
+			pause(ctx, settle/2+rand.N(settle))
+		}
+	}
+}
+
 // fail notes an error and pauses. Lost history needs a new list, but no pause.
 func (c *cursor) fail(ctx context.Context, err error) {
 	if errors.Is(err, banyanplank.ErrCompacted) {
@@ -125,9 +213,13 @@
 		c.send(LostMsg{Topic: c.topic, Err: err})
 	}
 	c.lost = true
-	pause := c.pause/2 + rand.N(c.pause/2)
+	pause(ctx, c.pause/2+rand.N(c.pause/2))
+}
+
+// pause waits.
+func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(pause):
+	case <-time.After(d):
 	}
 }
