Compare a few endpoints for each call

Entries learn late of each other's calls, and all 40 sent to the one endpoint that looked emptiest; 6 arrived within 30 ms, and it ran out of places while the mean rank had 4 of 10. Ruled out: dropped connections (all were new), map switches (other times), a full service (277 of 720 places in use). Change: each call looks at a random sample of its zone, one entry's share of all and two more; more only when none of these has room.

--- a/coordination/balancer/lease.go
+++ b/coordination/balancer/lease.go
@@ -35,10 +35,15 @@
 // Lease is the right to send one call to an endpoint. Finish it exactly once.
 type Lease struct {
 	Backend *banyanplank.Backend
-	pool    *pool
-	seat    *seat
-	prompt  int
-	began   time.Time
+	// Own and Others are the calls of this entry and of its peers that the
+	// endpoint had when it was chosen, and Limit how many it may have.
+	Own    int
+	Others int
+	Limit  float64
+	pool   *pool
+	seat   *seat
+	prompt int
+	began  time.Time
 }
 
 // Begun tells that the first event has come.
--- a/coordination/balancer/pool.go
+++ b/coordination/balancer/pool.go
@@ -30,6 +30,9 @@
 	plainQueue = 2
 	// defaultSlots is for endpoints that do not state their slots.
 	defaultSlots = 8
+	// leastSample is the number of endpoints of the own zone that are compared
+	// for a call besides this entry's share of all.
+	leastSample = 2
 )
 
 // pool is one service.
@@ -37,7 +40,10 @@
 	owner   *Balancer
 	spec    banyanplank.PoolSpec
 	seats   map[banyanplank.BackendID]*seat
+	// order lists the seats in random order, near counts those in the own zone.
 	order   []*seat
+	near    int
+	entries int
 	waiting []*waiter
 	budget  budget
 	pace    pace
@@ -71,6 +77,7 @@
 func (p *pool) renew(now time.Time, spec banyanplank.PoolSpec, fleet Fleet) {
 	p.spec = spec
 	entries := max(1, fleet.Entries)
+	p.entries = entries
 	p.budget.slack = float64(p.owner.slack) / float64(entries)
 	p.pace.configure(spec.Engine)
 	listed := make(map[banyanplank.BackendID]bool)
@@ -91,16 +98,13 @@
 			delete(p.seats, id)
 		}
 	}
-	p.order = p.order[:0]
+	p.order, p.near = p.order[:0], 0
 	for _, s := range p.seats {
 		p.order = append(p.order, s)
-	}
-	slices.SortFunc(p.order, func(a, b *seat) int {
-		if a.backend.ID < b.backend.ID {
-			return -1
+		if s.backend.Zone == p.owner.zone && !s.out {
+			p.near++
 		}
-		return 1
-	})
+	}
 	p.dispatch(now)
 }
 
@@ -179,9 +183,13 @@
 	return false
 }
 
-// choose returns the endpoint that will start the call soonest, or nil.
+// choose returns an endpoint that will start the call soon, or nil. Entries know
+// late what the others have sent. If all looked at all endpoints they would all
+// send to the same ones in the meantime, so each looks at a few, drawn for each
+// call, and at the others only when none of these has room.
 func (p *pool) choose(now time.Time, query Query) (best *seat) {
-	lowest := 0.0
+	lowest, seen, sample := 0.0, 0, len(p.order)/p.entries+leastSample
+	p.owner.random.Shuffle(len(p.order), func(i, j int) { p.order[i], p.order[j] = p.order[j], p.order[i] })
 	for _, s := range p.order {
 		if !s.isUsable(now) || s.held()+1 > p.limit(s)+0.5 || !s.hasRate(now) || slices.Contains(query.Avoid, s.backend.ID) {
 			continue
@@ -189,14 +197,30 @@
 		if cost := s.cost(now, p.owner); best == nil || cost < lowest {
 			best, lowest = s, cost
 		}
+		if s.backend.Zone == p.owner.zone || p.near == 0 {
+			seen++
+		}
+		if seen >= sample {
+			break
+		}
 	}
 	return best
 }
 
 // grant takes a place.
 func (p *pool) grant(now time.Time, s *seat, query Query) (lease *Lease) {
+	lease = &Lease{
+		Backend: s.backend,
+		Own:     s.own,
+		Others:  p.owner.others[s.backend.ID],
+		Limit:   p.limit(s),
+		pool:    p,
+		seat:    s,
+		prompt:  query.Prompt,
+		began:   now,
+	}
 	s.begin(now, query)
-	return &Lease{Backend: s.backend, pool: p, seat: s, prompt: query.Prompt, began: now}
+	return lease
 }
 
 // dispatch gives free places to those that wait.
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -85,6 +85,9 @@
 	line.Strs("tried", names(f.tried)).Int("sends", f.sends).
 		Dur("waited", f.result.waited).Dur("first", f.result.first).Dur("total", time.Since(f.arrived)).
 		Int("prompt", f.info.Prompt)
+	if f.lease != nil {
+		line.Int("own", f.lease.Own).Int("others", f.lease.Others).Float64("limit", f.lease.Limit)
+	}
 	if f.stream.events > 0 {
 		line.Int("events", f.stream.events).Str("last", f.stream.last)
 	}
