Test switches under late orders, frozen and lost givers, and two leaders

Cause: tests of the stepper found passes with two maps when two entries both believed to lead and orders were late: one had prepared another map at some ranks, the other released the pass with the rest armed. They also found groups that stood still half of the time while a third of the orders got no answer. Change: ranks that hold different maps at a held pass all get the map in use under a new id first, which voids orders on their way; the held pass is a second ahead while orders get lost; an entry leads only when it hears most of the known ones. The balancer forgets failures and slowness of endpoints that get no calls.

--- /dev/null
+++ b/coordination/balancer/herd_test.go
@@ -0,0 +1,118 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// herd plays many entries that learn late of each other's calls, and returns the
+// part of the calls that find an endpoint with more calls than it has places.
+func herd(choose func(b *Balancer, i int) *Lease, zones []banyanplank.Zone, all []*Balancer) (over float64) {
+	type running struct {
+		lease *Lease
+		by    int
+		until time.Time
+	}
+	const rate, work, slots = 270, 1100 * time.Millisecond, 10
+	random := rand.New(rand.NewPCG(3, 4))
+	held := make(map[banyanplank.BackendID]int)
+	var calls []running
+	sent, crowded := 0, 0
+	for tick := range 1000 { // 10 s in steps of 10 ms
+		now := time.Now()
+		kept := calls[:0]
+		for _, c := range calls {
+			if now.Before(c.until) {
+				kept = append(kept, c)
+				continue
+			}
+			held[c.lease.Backend.ID]--
+			c.lease.Finish(Result{Kind: Served})
+		}
+		calls = kept
+		for range rate / 100 {
+			i := random.IntN(len(all))
+			lease := choose(all[i], i)
+			sent++
+			held[lease.Backend.ID]++
+			if held[lease.Backend.ID] > slots {
+				crowded++
+			}
+			calls = append(calls, running{lease: lease, by: i, until: now.Add(work)})
+		}
+		for i, b := range all {
+			word := b.InFlight()
+			for j, peer := range all {
+				near := zones[i%len(zones)] == zones[j%len(zones)]
+				if i != j && ((near && tick%12 == 0) || tick%60 == 0) {
+					peer.Hear(now, banyanplank.DaemonID(rune('a'+i)), word)
+				}
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return float64(crowded) / float64(sent)
+}
+
+// TestHerd has 40 entries with late news of each other not send to the same
+// endpoints, while the service has three times the places that are needed.
+func TestHerd(t *testing.T) {
+	zones := []banyanplank.Zone{"a", "b", "c"}
+	tests := map[string]struct {
+		entries int // that each believes to share the endpoints with
+		most    float64
+		least   float64
+	}{
+		"sampled":          {entries: 40, most: 0.001},
+		"all, the control": {entries: 1, least: 0.001, most: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var all []*Balancer
+				for i := range 40 {
+					b := New(WithZone(zones[i%3]), WithRandom(rand.New(rand.NewPCG(1, uint64(i)))))
+					b.Renew(time.Now(), Fleet{Pools: []banyanplank.PoolSpec{engine(10)}, Backends: endpoints("chat", 72, 10, zones...), Entries: test.entries})
+					all = append(all, b)
+				}
+				over := herd(func(b *Balancer, _ int) *Lease {
+					lease, err := b.Acquire(t.Context(), Query{Service: "chat", Prompt: 800, Goal: time.Second})
+					is.NoErr(err)
+					return lease
+				}, zones, all)
+				t.Logf("%.4f of the calls found no place", over)
+				is.True(over <= test.most)
+				is.True(over >= test.least)
+			})
+		})
+	}
+}
+
+// TestPace has the limit fall while streams pause too long, and rise again.
+func TestPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var c pace
+		c.configure(&banyanplank.EngineSpec{Slots: 12})
+		play := func(gap time.Duration, span time.Duration) {
+			for range int(span / (10 * time.Millisecond)) {
+				c.observe(time.Now(), gap)
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		play(60*time.Millisecond, 5*time.Second)
+		is.Equal(c.limit, 12.0)
+		play(140*time.Millisecond, 5*time.Second)
+		is.True(c.limit < 6)
+		is.True(c.limit >= leastLimit)
+		play(60*time.Millisecond, 20*time.Second)
+		is.Equal(c.limit, 12.0)
+	})
+}
--- a/coordination/balancer/lease.go
+++ b/coordination/balancer/lease.go
@@ -76,7 +76,7 @@
 	}
 	switch {
 	case result.Kind == Served:
-		s.serve(now.Sub(l.began))
+		s.serve(now, now.Sub(l.began))
 	case result.Kind == Abandoned || result.Blameless:
 	default:
 		s.fail(now)
--- a/coordination/balancer/pool.go
+++ b/coordination/balancer/pool.go
@@ -37,9 +37,9 @@
 
 // pool is one service.
 type pool struct {
-	owner   *Balancer
-	spec    banyanplank.PoolSpec
-	seats   map[banyanplank.BackendID]*seat
+	owner *Balancer
+	spec  banyanplank.PoolSpec
+	seats map[banyanplank.BackendID]*seat
 	// order lists the seats in random order, near counts those in the own zone.
 	order   []*seat
 	near    int
--- a/coordination/balancer/seat.go
+++ b/coordination/balancer/seat.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"math"
 	"time"
 
 	"github.com/banyanplank/banyanplank"
@@ -11,7 +12,7 @@
 	// farCost keeps a call in its zone among near equals.
 	farCost = 0.4
 	// failureCost is for an endpoint all of whose calls fail.
-	failureCost = 20
+	failureCost = 8
 	// jitterCost breaks ties, so that entries do not all choose the same.
 	jitterCost = 0.3
 	// tokensPerCall is the prompt tokens that weigh as much as one more call.
@@ -26,6 +27,9 @@
 	failureDecay = 0.2
 	// latencyDecay is the weight of the latest call in the mean latency.
 	latencyDecay = 0.15
+	// forgetHalf is the time in which what is known of an endpoint counts half,
+	// so that one that gets no calls is tried again.
+	forgetHalf = 2 * time.Second
 )
 
 // seat is what an entry knows of one endpoint.
@@ -42,6 +46,8 @@
 	// others took.
 	failures float64
 	latency  time.Duration
+	// learned is when these two were last known.
+	learned time.Time
 	// streak counts the failures in a row.
 	streak       int
 	ejectedUntil time.Time
@@ -93,10 +99,11 @@
 
 // cost returns how little the endpoint suits one more call.
 func (s *seat) cost(now time.Time, b *Balancer) (cost float64) {
-	cost = s.held() + float64(s.unread)/tokensPerCall + s.failures*failureCost
+	fresh := s.fresh(now)
+	cost = s.held() + float64(s.unread)/tokensPerCall + s.failures*fresh*failureCost
 	if s.pool.spec.Engine == nil && s.latency > 0 {
 		// Plain endpoints of one service differ in speed.
-		cost = (cost + 1) * s.latency.Seconds() * 100
+		cost = (cost + 1) * s.latency.Seconds() * fresh * 100
 	}
 	if s.backend.Zone != b.zone {
 		cost += farCost
@@ -104,6 +111,17 @@
 	return cost + jitterCost*b.random.Float64()
 }
 
+// fresh returns how much of what is known of the endpoint still counts.
+func (s *seat) fresh(now time.Time) (part float64) {
+	return math.Exp2(-now.Sub(s.learned).Seconds() / forgetHalf.Seconds())
+}
+
+// learn lets earlier failures count less, before a call's end is added.
+func (s *seat) learn(now time.Time) {
+	s.failures *= s.fresh(now)
+	s.learned = now
+}
+
 // begin notes a call that is sent.
 func (s *seat) begin(now time.Time, query Query) {
 	s.own++
@@ -118,6 +136,7 @@
 
 // fail notes a call that the endpoint failed.
 func (s *seat) fail(now time.Time) {
+	s.learn(now)
 	s.failures += failureDecay * (1 - s.failures)
 	s.streak++
 	pause := ejectLeast << min(s.streak-1, 4)
@@ -125,7 +144,8 @@
 }
 
 // serve notes a call that went well.
-func (s *seat) serve(latency time.Duration) {
+func (s *seat) serve(now time.Time, latency time.Duration) {
+	s.learn(now)
 	s.failures -= failureDecay * s.failures
 	s.streak = 0
 	if s.latency == 0 {
--- a/coordination/stepper/stepper.go
+++ b/coordination/stepper/stepper.go
@@ -216,29 +216,12 @@
 
 // learnPlaces reads the map in use from all ranks.
 func (s *Stepper) learnPlaces(ctx context.Context, t *term, g *group) (err error) {
-	held := make([]banyanplank.RankPlaces, len(g.backends))
-	work := pool.New().WithErrors()
-	for i, b := range g.backends {
-		work.Go(func() (err error) {
-			held[i], err = s.ranks.Places(ctx, b)
-			return err
-		})
-	}
-	if err := work.Wait(); err != nil {
-		return err
-	}
-	layers := len(t.demand.weight)
-	p := make(places, layers)
-	for _, h := range held {
-		if h.Map != held[0].Map || len(h.Places) != layers {
-			return errors.Newf("a rank has map %d with %d layers, another map %d", h.Map, len(h.Places), held[0].Map)
-		}
-		for l := range p {
-			p[l] = append(p[l], h.Places[l])
-		}
+	t.places, err = g.places(ctx)
+	if err == nil && len(t.places) != len(t.demand.weight) {
+		err = errors.Newf("the map has %d layers, declared are %d", len(t.places), len(t.demand.weight))
 	}
-	t.places, t.id = p, held[0].Map
-	return nil
+	t.id = g.reports[0].Map
+	return err
 }
 
 // paces returns how much slower than usual each rank is.
--- a/coordination/stepper/switch.go
+++ b/coordination/stepper/switch.go
@@ -17,6 +17,9 @@
 	// armLead is how far ahead the held pass is. The orders to all ranks take a
 	// few round trips.
 	armLead = 120 * time.Millisecond
+	// lossyLead is the same while orders get no answer, as each must then be
+	// given several times.
+	lossyLead = time.Second
 	// armLimit bounds the time for which a round tries to arm all ranks. The next
 	// round goes on with it.
 	armLimit = 10 * time.Second
@@ -37,6 +40,9 @@
 // that the switch began with.
 var errMoved = errors.New("the group has changed")
 
+// errSuperseded means that a rank has prepared another map meanwhile.
+var errSuperseded = errors.New("a rank has prepared another map")
+
 // group is the ranks of a group, in order, as last reported.
 type group struct {
 	ranks    banyanplank.Ranks
@@ -45,6 +51,8 @@
 	epoch    uint64
 	// pass is how long a pass takes.
 	pass time.Duration
+	// lossy tells that some order has got no answer.
+	lossy bool
 }
 
 // refresh reads the reports of all ranks. The error is errMoved when they don't
@@ -81,9 +89,13 @@
 // all gives orders to the ranks that pending selects, again and again, until a
 // report shows that none is left or limit has passed.
 func (g *group) all(ctx context.Context, order banyanplank.RankOrder, limit time.Duration, pending func(r banyanplank.RankReport) bool) (err error) {
+	return g.allOf(ctx, order, g.backends, limit, pending)
+}
+
+// allOf is all for some of the ranks to begin with.
+func (g *group) allOf(ctx context.Context, order banyanplank.RankOrder, left []*banyanplank.Backend, limit time.Duration, pending func(r banyanplank.RankReport) bool) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	left := g.backends
 	for {
 		left = g.give(ctx, order, left)
 		if order.Kind != banyanplank.RankPrepare && len(left) == 0 {
@@ -92,42 +104,37 @@
 		if err := g.refresh(ctx); err != nil && (errors.Is(err, errMoved) || ctx.Err() != nil) {
 			return err
 		}
-		done := true
 		left = nil
 		for i, r := range g.reports {
 			if pending(r) {
-				done = false
 				left = append(left, g.backends[i])
 			}
+			if order.Kind == banyanplank.RankArm && pending(r) && r.Prepared != order.Map {
+				return errSuperseded
+			}
 		}
-		if done {
+		if len(left) == 0 {
 			return nil
 		}
-		if order.Kind == banyanplank.RankPrepare {
-			left = g.unanswered(left)
-		}
 		if err := wait(ctx, retryPause); err != nil {
 			return err
 		}
 	}
 }
 
-// unanswered is for orders that take time: a rank that has accepted one is only
-// asked whether it is done.
-func (g *group) unanswered(left []*banyanplank.Backend) []*banyanplank.Backend { return left }
-
 // give gives an order to several ranks and returns those that have not accepted it.
 func (g *group) give(ctx context.Context, order banyanplank.RankOrder, to []*banyanplank.Backend) (left []*banyanplank.Backend) {
-	failed := make([]bool, len(to))
+	failed := make([]error, len(to))
 	work := pool.New()
 	for i, b := range to {
-		work.Go(func() { failed[i] = g.ranks.Order(ctx, b, order) != nil })
+		work.Go(func() { failed[i] = g.ranks.Order(ctx, b, order) })
 	}
 	work.Wait()
 	for i, b := range to {
-		if failed[i] {
+		if failed[i] != nil {
 			left = append(left, b)
 		}
+		g.lossy = g.lossy || errors.Is(failed[i], banyanplank.ErrUncertain)
 	}
 	return left
 }
@@ -174,11 +181,16 @@
 		if g.reports[0].Held > g.step() {
 			return g.reports[0].Held, nil
 		}
-		step = g.step() + max(leastAhead, uint64(armLead/max(time.Millisecond, g.pass))+1)
+		lead := armLead
+		if g.lossy {
+			lead = lossyLead
+		}
+		step = g.step() + max(leastAhead, uint64(lead/max(time.Millisecond, g.pass))+1)
 		err = g.ranks.Order(ctx, g.backends[0], banyanplank.RankOrder{Kind: banyanplank.RankHold, Epoch: g.epoch, Step: step})
 		if err == nil {
 			return step, nil
 		}
+		g.lossy = g.lossy || errors.Is(err, banyanplank.ErrUncertain)
 	}
 	return 0, err
 }
@@ -186,7 +198,7 @@
 // arm arms all ranks for a pass that is held.
 func (g *group) arm(ctx context.Context, id banyanplank.MapID, step uint64) (err error) {
 	order := banyanplank.RankOrder{Kind: banyanplank.RankArm, Epoch: g.epoch, Map: id, Step: step}
-	err = g.all(ctx, order, armLimit, func(r banyanplank.RankReport) bool { return r.Armed != id })
+	err = g.all(ctx, order, armLimit, func(r banyanplank.RankReport) bool { return r.Armed != id && r.Map != id })
 	return errors.Wrap(err, "arm")
 }
 
@@ -206,9 +218,7 @@
 	}
 }
 
-// settle finishes a switch that was left between its orders. A pass is held only
-// after all ranks have prepared the map, and ranks are armed only after that, so
-// the switch always can go on.
+// settle finishes a switch that was left between its orders.
 func (g *group) settle(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrap(err, "settle") }()
 	if err := g.refresh(ctx); err != nil {
@@ -228,19 +238,81 @@
 	return nil
 }
 
-// finish arms all ranks for a held pass, if they all have the same map at hand.
-// If they don't, none was armed.
+// finish arms all ranks for a held pass with the same map. Mostly all have the
+// map of the switch at hand. If they don't, they get the map in use under a new
+// id: a rank that has it at hand refuses orders for the old one, so that none of
+// them can be carried out late.
 func (g *group) finish(ctx context.Context, step uint64) (err error) {
 	id := g.reports[0].Prepared
+	last := banyanplank.MapID(0)
 	for _, r := range g.reports {
 		if r.Armed != 0 {
 			id = r.Armed
 		}
+		last = max(last, r.Map, r.Prepared, r.Armed)
 	}
 	for _, r := range g.reports {
 		if id == 0 || (r.Prepared != id && r.Armed != id) {
-			return nil
+			return g.restate(ctx, nextID(last), step)
 		}
 	}
 	return g.arm(ctx, id, step)
 }
+
+// restate arms all ranks for a held pass with the map in use, under a new id.
+func (g *group) restate(ctx context.Context, id banyanplank.MapID, step uint64) (err error) {
+	defer func() { err = errors.Wrapf(err, "restate as map %d", id) }()
+	current, err := g.places(ctx)
+	if err != nil {
+		return err
+	}
+	for _, r := range g.reports {
+		if r.Armed != 0 {
+			if err := g.disarm(ctx, r.Armed); err != nil {
+				return err
+			}
+		}
+	}
+	if err := g.prepare(ctx, id, current); err != nil {
+		return err
+	}
+	return g.arm(ctx, id, step)
+}
+
+// disarm takes back what ranks are armed with.
+func (g *group) disarm(ctx context.Context, id banyanplank.MapID) (err error) {
+	order := banyanplank.RankOrder{Kind: banyanplank.RankDisarm, Epoch: g.epoch, Map: id}
+	var armed []*banyanplank.Backend
+	for i, r := range g.reports {
+		if r.Armed == id {
+			armed = append(armed, g.backends[i])
+		}
+	}
+	err = g.allOf(ctx, order, armed, armLimit, func(r banyanplank.RankReport) bool { return r.Armed == id })
+	return errors.Wrapf(err, "disarm map %d", id)
+}
+
+// places reads the map in use from all ranks.
+func (g *group) places(ctx context.Context) (p places, err error) {
+	held := make([]banyanplank.RankPlaces, len(g.backends))
+	work := pool.New().WithErrors()
+	for i, b := range g.backends {
+		work.Go(func() (err error) {
+			held[i], err = g.ranks.Places(ctx, b)
+			return err
+		})
+	}
+	if err := work.Wait(); err != nil {
+		return nil, err
+	}
+	p = make(places, len(held[0].Places))
+	for _, h := range held {
+		if h.Map != held[0].Map || len(h.Places) != len(p) {
+			return nil, errors.Newf("a rank has map %d with %d layers, another map %d", h.Map, len(h.Places), held[0].Map)
+		}
+		for l := range p {
+			p[l] = append(p[l], h.Places[l])
+		}
+	}
+	return p, nil
+}
--- /dev/null
+++ b/coordination/stepper/world_test.go
@@ -0,0 +1,295 @@
+package stepper
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// world is a group of ranks that run in lock-step. It notes every pass that
+// began while two ranks had different maps.
+type world struct {
+	mutex    sync.Mutex
+	random   *rand.Rand
+	spec     banyanplank.EngineSpec
+	backends []banyanplank.Backend
+	ranks    []*rank
+	epoch    uint64
+	step     uint64
+	pass     time.Duration
+	// lost is the part of the orders that get no answer and are carried out
+	// seconds later.
+	lost float64
+	// frozen ranks answer nothing; orders to them wait.
+	frozen  map[int]chan struct{}
+	late    conc.WaitGroup
+	mixed   int
+	passes  int
+	changes int
+	// weight is the demand by expert.
+	weight []float64
+}
+
+// rank is one rank of a world.
+type rank struct {
+	id       banyanplank.MapID
+	places   [][]uint16
+	prepared banyanplank.MapID
+	next     [][]uint16
+	armed    banyanplank.MapID
+	at       uint64
+	held     uint64
+	highest  banyanplank.MapID
+	counts   []uint64
+}
+
+// newWorld returns a group with map 0, which places the experts by turns.
+func newWorld(ranks, layers, experts, slots int, seed uint64) *world {
+	w := &world{
+		random: rand.New(rand.NewPCG(seed, 1)),
+		spec: banyanplank.EngineSpec{
+			Slots: 12, Step: 6 * time.Millisecond, Layers: layers, Experts: experts, Places: slots, Spare: 2,
+			ExpertShare: 0.85, Weight: 880e6, LinkRate: 22.5e9,
+		},
+		epoch: 1, step: 1, pass: 50 * time.Millisecond,
+		frozen: make(map[int]chan struct{}),
+		weight: make([]float64, experts),
+	}
+	for i := range ranks {
+		r := &rank{counts: make([]uint64, layers*experts)}
+		for range layers {
+			var held []uint16
+			for e := i; e < experts; e += ranks {
+				held = append(held, uint16(e))
+			}
+			r.places = append(r.places, held)
+		}
+		w.ranks = append(w.ranks, r)
+		w.backends = append(w.backends, banyanplank.Backend{ID: banyanplank.BackendID(fmt.Sprintf("rank-%02d", i)), Service: "chat", Rank: i})
+	}
+	w.shift()
+	return w
+}
+
+// shift puts other experts in demand, a few of them much.
+func (w *world) shift() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for i, e := range w.random.Perm(len(w.weight)) {
+		w.weight[e] = 1000 / float64(i+1)
+	}
+}
+
+// run makes passes until ctx ends.
+func (w *world) run(ctx context.Context) {
+	for wait(ctx, w.pass) == nil {
+		w.begin()
+	}
+}
+
+// begin begins the next pass unless it is held.
+func (w *world) begin() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	next := w.step + 1
+	for _, r := range w.ranks {
+		if r.held == next {
+			return
+		}
+	}
+	w.step = next
+	w.passes++
+	for _, r := range w.ranks {
+		if r.armed != 0 && r.at == next {
+			r.id, r.places, r.armed, r.prepared = r.armed, r.next, 0, 0
+			w.changes++
+		}
+		for i := range r.counts {
+			r.counts[i] += uint64(w.weight[i%len(w.weight)])
+		}
+	}
+	for _, r := range w.ranks {
+		if r.id != w.ranks[0].id {
+			w.mixed++
+			return
+		}
+	}
+}
+
+// reach returns the rank, after it has thawed.
+func (w *world) reach(ctx context.Context, backend *banyanplank.Backend) (r *rank, err error) {
+	w.mutex.Lock()
+	thaw := w.frozen[backend.Rank]
+	w.mutex.Unlock()
+	if thaw != nil {
+		ctx, cancel := context.WithTimeout(ctx, 250*time.Millisecond)
+		defer cancel()
+		select {
+		case <-thaw:
+		case <-ctx.Done():
+			return nil, banyanplank.ErrUncertain
+		}
+	}
+	return w.ranks[backend.Rank], nil
+}
+
+// Report implements banyanplank.Ranks.
+func (w *world) Report(ctx context.Context, backend *banyanplank.Backend) (report banyanplank.RankReport, err error) {
+	r, err := w.reach(ctx, backend)
+	if err != nil {
+		return report, err
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return banyanplank.RankReport{
+		Group: "g", Epoch: w.epoch, Rank: backend.Rank, Size: len(w.ranks), Open: true, Step: w.step,
+		Map: r.id, Prepared: r.prepared, Armed: r.armed, Held: r.held, Pace: 1,
+	}, nil
+}
+
+// Counts implements banyanplank.Ranks.
+func (w *world) Counts(ctx context.Context, backend *banyanplank.Backend) (counts banyanplank.RankCounts, err error) {
+	r, err := w.reach(ctx, backend)
+	if err != nil {
+		return counts, err
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return banyanplank.RankCounts{Epoch: w.epoch, Counts: append([]uint64(nil), r.counts...)}, nil
+}
+
+// Places implements banyanplank.Ranks.
+func (w *world) Places(ctx context.Context, backend *banyanplank.Backend) (places banyanplank.RankPlaces, err error) {
+	r, err := w.reach(ctx, backend)
+	if err != nil {
+		return places, err
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return banyanplank.RankPlaces{Map: r.id, Places: r.places}, nil
+}
+
+// Order implements banyanplank.Ranks. An order to a frozen rank is carried out
+// when it thaws.
+func (w *world) Order(ctx context.Context, backend *banyanplank.Backend, order banyanplank.RankOrder) (err error) {
+	w.mutex.Lock()
+	thaw := w.frozen[backend.Rank]
+	late := time.Duration(0)
+	if w.random.Float64() < w.lost {
+		late = 2*time.Second + time.Duration(w.random.Int64N(int64(10*time.Second)))
+	}
+	w.mutex.Unlock()
+	if thaw == nil && late == 0 {
+		return w.carryOut(backend.Rank, order)
+	}
+	w.late.Go(func() {
+		if thaw != nil {
+			<-thaw
+		}
+		time.Sleep(late)
+		_ = w.carryOut(backend.Rank, order) // nobody hears of it
+	})
+	if err := wait(ctx, 250*time.Millisecond); err != nil {
+		return err
+	}
+	return banyanplank.ErrUncertain
+}
+
+// carryOut carries out an order as the platform's pages say.
+func (w *world) carryOut(i int, order banyanplank.RankOrder) (err error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	r := w.ranks[i]
+	refused := order.Epoch != w.epoch
+	switch order.Kind {
+	case banyanplank.RankPrepare:
+		refused = refused || order.Map <= r.highest || r.armed != 0
+		if !refused {
+			r.highest, r.prepared, r.next = order.Map, order.Map, nil
+			for _, layer := range order.Places {
+				r.next = append(r.next, layer[i])
+			}
+		}
+	case banyanplank.RankArm:
+		refused = refused || order.Map != r.prepared || order.Step <= w.step
+		if !refused {
+			r.armed, r.at = order.Map, order.Step
+		}
+	case banyanplank.RankDisarm:
+		refused = refused || order.Map != r.armed
+		if !refused {
+			r.armed = 0
+		}
+	case banyanplank.RankHold:
+		refused = refused || order.Step <= w.step || r.held != 0
+		if !refused {
+			r.held = order.Step
+		}
+	case banyanplank.RankRelease:
+		refused = refused || r.held != order.Step
+		if !refused {
+			r.held = 0
+		}
+	}
+	if refused {
+		return banyanplank.ErrConflict
+	}
+	return nil
+}
+
+// freeze freezes a rank until the returned function is called.
+func (w *world) freeze(i int) (thaw func()) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	frozen := make(chan struct{})
+	w.frozen[i] = frozen
+	return func() {
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		close(frozen)
+		delete(w.frozen, i)
+	}
+}
+
+// skew returns the heaviest over the mean rank, in the worst layer.
+func (w *world) skew() (worst float64) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	total := 0.0
+	for _, n := range w.weight {
+		total += n
+	}
+	for l := range w.spec.Layers {
+		holders := make([]int, len(w.weight))
+		for _, r := range w.ranks {
+			for _, e := range r.places[l] {
+				holders[e]++
+			}
+		}
+		for _, r := range w.ranks {
+			load := 0.0
+			for _, e := range r.places[l] {
+				load += w.weight[e] / float64(holders[e])
+			}
+			worst = max(worst, load/total*float64(len(w.ranks)))
+		}
+	}
+	return worst
+}
+
+// fleet returns what a stepper that leads sees.
+func (w *world) fleet(leads func() bool) Fleet {
+	table := &banyanplank.RoutingTable{Version: 1, Pools: []banyanplank.PoolSpec{{Name: "chat", Engine: &w.spec}}}
+	return func() (*banyanplank.RoutingTable, []banyanplank.Backend, bool) {
+		return table, append([]banyanplank.Backend(nil), w.backends...), leads()
+	}
+}
+
+// always is a leader.
+func always() bool { return true }
--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -80,6 +80,9 @@
 	// Watches tells that this entry is one of those that watch the platform:
 	// the first of its zone that can.
 	Watches bool
+	// Leads tells that this entry does what one has to do for all: it is the
+	// first of those that take callers, and hears most of those that are known.
+	Leads bool
 	// Ready tells that this entry may take new callers.
 	Ready bool
 }
@@ -480,5 +483,7 @@
 		}
 	}
 	slices.SortFunc(s.Entries, func(a, b banyanplank.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	// Of two parts of the entries that don't hear each other, one leads at most.
+	s.Leads = s.Ready && s.Entries[0].ID == m.self.ID && 2*s.Alive > len(m.members)+1
 	m.snapshot = s
 }
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -159,10 +159,10 @@
 // fleet returns what the stepper needs to know.
 func (d *Daemon) fleet() (table *banyanplank.RoutingTable, backends []banyanplank.Backend, leads bool) {
 	snapshot := d.view.Load()
-	if snapshot.Router == nil || len(snapshot.Entries) == 0 {
+	if !snapshot.Leads {
 		return nil, nil, false
 	}
-	return snapshot.Router.Table(), slices.Clone(snapshot.Backends), snapshot.Entries[0].ID == d.member.ID
+	return snapshot.Router.Table(), slices.Clone(snapshot.Backends), true
 }
 
 // noteStep logs a decision on expert maps.
