--- /dev/null
+++ b/coordination/router/router_test.go
@@ -0,0 +1,49 @@
+package router
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+func TestRoute(t *testing.T) {
+	r := New(&banyanplank.RoutingTable{Routes: []banyanplank.RouteSpec{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "all", Host: "b.example", Prefix: "/"},
+	}})
+	tests := map[string]struct{ host, path, want string }{
+		"longest":          {"a.example", "/x/y/z", "long"},
+		"the prefix":       {"a.example", "/x/y/", "long"},
+		"shorter":          {"a.example", "/x/z", "short"},
+		"not a whole part": {"a.example", "/x/yz", "short"},
+		"no slash":         {"a.example", "/x", ""},
+		"none":             {"a.example", "/z/", ""},
+		"root":             {"b.example", "/anything", "all"},
+		"host with port":   {"a.example:80", "/x/", "short"},
+		"host in capitals": {"A.Example", "/x/", "short"},
+		"other host":       {"c.example", "/x/", ""},
+		"empty path":       {"b.example", "", ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got := ""
+			if route := r.Route(test.host, test.path); route != nil {
+				got = route.Name
+			}
+			is.Equal(got, test.want)
+		})
+	}
+}
+
+func TestAccount(t *testing.T) {
+	is := is.New(t)
+	r := New(&banyanplank.RoutingTable{Accounts: []banyanplank.AccountSpec{{Name: "himal", Key: "k1"}, {Name: "himal", Key: "k2"}}})
+	is.True(r.Keyed())
+	is.Equal(r.Account("k2").Name, banyanplank.AccountID("himal"))
+	is.True(r.Account("") == nil)
+	is.True(!New(&banyanplank.RoutingTable{}).Keyed())
+}
--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -362,6 +362,10 @@
 	if beat.From == m.self.ID {
 		return false
 	}
+	before := banyanplank.Incarnation(0)
+	if known := m.members[beat.From]; known != nil {
+		before = known.member.Incarnation
+	}
 	s := m.know(now, banyanplank.Member{
 		ID:          beat.From,
 		Incarnation: beat.Incarnation,
@@ -374,7 +378,7 @@
 		return false
 	}
 	s.heard = now
-	changed = !s.alive || s.ready != beat.Ready || s.blind != beat.Blind
+	changed = !s.alive || s.member.Incarnation != before || s.ready != beat.Ready || s.blind != beat.Blind
 	if !s.alive {
 		m.note(NoteCmd{Event: "peer heard", Topic: banyanplank.TopicMembers, Key: string(beat.From)})
 	}
--- /dev/null
+++ b/coordination/surveyor/surveyor_test.go
@@ -0,0 +1,258 @@
+package surveyor
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/beater"
+	"github.com/banyanplank/banyanplank/state/follower"
+)
+
+// begin is when the tests begin.
+var begin = time.Date(2026, 5, 1, 0, 0, 0, 0, time.UTC)
+
+// player plays messages to a model.
+type player struct {
+	model *Model
+	now   time.Time
+	// asked collects commands other than notes.
+	asked []banyanplank.Command
+}
+
+// newPlayer returns a player of an entry in zone a.
+func newPlayer(id banyanplank.DaemonID) *player {
+	return &player{model: NewModel(banyanplank.Member{ID: id, Zone: "a", Incarnation: 1}), now: begin}
+}
+
+// play plays a message and returns the belief.
+func (p *player) play(msg banyanplank.Msg) (s *Snapshot) {
+	_, commands := p.model.Update(p.now, msg)
+	for _, c := range commands {
+		if _, ok := c.(NoteCmd); !ok {
+			p.asked = append(p.asked, c)
+		}
+	}
+	return p.model.Snapshot()
+}
+
+// after lets time pass in ticks.
+func (p *player) after(d time.Duration) (s *Snapshot) {
+	for end := p.now.Add(d); p.now.Before(end); {
+		p.now = p.now.Add(TickInterval)
+		s = p.play(banyanplank.TickMsg{})
+	}
+	return s
+}
+
+// topic returns the message of a whole topic.
+func topicMsg(topic banyanplank.Topic, revision banyanplank.Version, whole bool, entries ...banyanplank.Listed) follower.TopicMsg {
+	return follower.TopicMsg{Topic: topic, Revision: revision, Whole: whole, Entries: entries, Sent: begin}
+}
+
+// backend returns the entry of an endpoint.
+func backend(id string, leaving bool) banyanplank.Listed {
+	return banyanplank.Listed{Key: id, Value: banyanplank.Backend{ID: banyanplank.BackendID(id), Service: "chat", Leaving: leaving}}
+}
+
+// table returns the entry of a routing table.
+func table(version uint64) banyanplank.Listed {
+	return banyanplank.Listed{Key: "main", Value: &banyanplank.RoutingTable{Version: version}}
+}
+
+// beat returns a heartbeat.
+func beat(id string, zone banyanplank.Zone, ready, blind bool) HeardMsg {
+	return HeardMsg{Beat: &beater.Beat{
+		From: banyanplank.DaemonID(id), Incarnation: 1, Zone: zone, Ready: ready, Blind: blind,
+		Peer: netip.MustParseAddrPort("10.0.0.1:1"), Caller: netip.MustParseAddrPort("10.0.0.1:2"),
+	}}
+}
+
+// ids returns the endpoints of a belief.
+func ids(s *Snapshot) (all []string) {
+	for _, b := range s.Backends {
+		all = append(all, string(b.ID))
+	}
+	return all
+}
+
+func TestRoutingNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	p := newPlayer("e1")
+	for i, version := range []uint64{3, 7, 5, 6, 9, 2} {
+		s := p.play(topicMsg(banyanplank.TopicRouting, banyanplank.Version(10+i), true, table(version)))
+		is.True(s.Router.Table().Version >= version)
+	}
+	is.Equal(p.model.Snapshot().Router.Table().Version, uint64(9))
+	// A reply that is older than what is known changes nothing.
+	p.play(topicMsg(banyanplank.TopicRouting, 5, true, table(12)))
+	is.Equal(p.model.Snapshot().Router.Table().Version, uint64(9))
+	// A table that can't be read leaves the one in force.
+	s := p.play(topicMsg(banyanplank.TopicRouting, 20, true, banyanplank.Listed{Key: "main"}))
+	is.Equal(s.Router.Table().Version, uint64(9))
+}
+
+func TestBackends(t *testing.T) {
+	resumed := topicMsg(banyanplank.TopicBackends, 11, true, backend("x", false))
+	resumed.Resumed = true
+	removedAfter := topicMsg(banyanplank.TopicBackends, 11, false, banyanplank.Listed{Key: "y"})
+	removedAfter.Resumed = true
+	tests := map[string]struct {
+		msg   follower.TopicMsg
+		now   []string
+		later []string
+	}{
+		"removed":                 {topicMsg(banyanplank.TopicBackends, 11, false, banyanplank.Listed{Key: "y"}), []string{"x"}, []string{"x"}},
+		"missing in a list":       {topicMsg(banyanplank.TopicBackends, 11, true, backend("x", false)), []string{"x"}, []string{"x"}},
+		"missing after an outage": {resumed, []string{"x", "y"}, []string{"x"}},
+		"lapsed in an outage":     {removedAfter, []string{"x", "y"}, []string{"x"}},
+		"added":                   {topicMsg(banyanplank.TopicBackends, 11, false, backend("z", false)), []string{"x", "y", "z"}, []string{"x", "y", "z"}},
+		"of an older revision":    {topicMsg(banyanplank.TopicBackends, 9, true), []string{"x", "y"}, []string{"x", "y"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPlayer("e1")
+			p.play(topicMsg(banyanplank.TopicBackends, 10, true, backend("x", false), backend("y", false)))
+			is.Equal(ids(p.play(test.msg)), test.now)
+			is.Equal(ids(p.after(returnGrace+TickInterval)), test.later)
+		})
+	}
+}
+
+// TestReturnAfterOutage has an endpoint that registers again in time be kept.
+func TestReturnAfterOutage(t *testing.T) {
+	is := is.New(t)
+	p := newPlayer("e1")
+	p.play(topicMsg(banyanplank.TopicBackends, 10, true, backend("x", false)))
+	p.play(follower.LostMsg{Topic: banyanplank.TopicBackends})
+	msg := topicMsg(banyanplank.TopicBackends, 11, true)
+	msg.Resumed = true
+	p.play(msg)
+	p.after(time.Second)
+	p.play(topicMsg(banyanplank.TopicBackends, 12, false, backend("x", false)))
+	is.Equal(ids(p.after(5*time.Second)), []string{"x"})
+}
+
+// TestLeavingInOutage has an endpoint that was leaving get no grace.
+func TestLeavingInOutage(t *testing.T) {
+	is := is.New(t)
+	p := newPlayer("e1")
+	p.play(topicMsg(banyanplank.TopicBackends, 10, true, backend("x", true)))
+	msg := topicMsg(banyanplank.TopicBackends, 11, true)
+	msg.Resumed = true
+	is.Equal(ids(p.play(msg)), nil)
+}
+
+func TestZonesOut(t *testing.T) {
+	is := is.New(t)
+	p := newPlayer("e1")
+	s := p.play(topicMsg(banyanplank.TopicZonesOut, 10, true, banyanplank.Listed{Key: "a", Value: banyanplank.Zone("a")}))
+	is.True(s.Out["a"])
+	s = p.play(topicMsg(banyanplank.TopicZonesOut, 11, false, banyanplank.Listed{Key: "b", Value: banyanplank.Zone("b")}))
+	is.True(s.Out["a"] && s.Out["b"])
+	s = p.play(topicMsg(banyanplank.TopicZonesOut, 12, false, banyanplank.Listed{Key: "a"}))
+	is.True(!s.Out["a"] && s.Out["b"])
+	s = p.play(topicMsg(banyanplank.TopicZonesOut, 13, true))
+	is.Equal(len(s.Out), 0)
+}
+
+func TestEntries(t *testing.T) {
+	is := is.New(t)
+	p := newPlayer("e2")
+	ready := func() []string {
+		var all []string
+		for _, m := range p.model.Snapshot().Entries {
+			all = append(all, string(m.ID))
+		}
+		return all
+	}
+	is.Equal(ready(), nil) // knows nothing yet
+	p.play(topicMsg(banyanplank.TopicRouting, 1, true, table(1)))
+	p.play(topicMsg(banyanplank.TopicBackends, 1, true))
+	p.play(topicMsg(banyanplank.TopicZonesOut, 1, true))
+	is.Equal(ready(), []string{"e2"})
+	p.play(beat("e1", "a", true, false))
+	p.play(beat("e3", "b", false, false))
+	is.Equal(ready(), []string{"e1", "e2"}) // e3 is not ready
+	p.play(DrainMsg{})
+	is.Equal(ready(), []string{"e1"})
+	p.after(aliveAge + TickInterval)
+	is.Equal(ready(), nil) // e1 is silent
+}
+
+func TestWatchesAndLeads(t *testing.T) {
+	tests := map[string]struct {
+		beats          []HeardMsg
+		listed         int // entries that are known and not heard
+		watches, leads bool
+	}{
+		"alone":                            {watches: true, leads: true},
+		"after another in the zone":        {beats: []HeardMsg{beat("e1", "a", true, false)}},
+		"before another in the zone":       {beats: []HeardMsg{beat("e5", "a", true, false)}, watches: true, leads: true},
+		"after one that can't see":         {beats: []HeardMsg{beat("e1", "a", true, true)}, watches: true},
+		"after one of another zone":        {beats: []HeardMsg{beat("e1", "b", true, false)}, watches: true},
+		"hears less than half of the rest": {beats: []HeardMsg{beat("e5", "b", true, false)}, listed: 3, watches: true},
+		"hears most of the rest":           {beats: []HeardMsg{beat("e5", "b", true, false), beat("e6", "b", true, false)}, listed: 2, watches: true, leads: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPlayer("e2")
+			p.play(topicMsg(banyanplank.TopicRouting, 1, true, table(1)))
+			p.play(topicMsg(banyanplank.TopicBackends, 1, true))
+			p.play(topicMsg(banyanplank.TopicZonesOut, 1, true))
+			var members []banyanplank.Listed
+			for i := range test.listed {
+				id := fmt.Sprintf("z%d", i)
+				members = append(members, banyanplank.Listed{Key: id, Value: banyanplank.Member{ID: banyanplank.DaemonID(id), Incarnation: 1}})
+			}
+			p.play(topicMsg(banyanplank.TopicMembers, 1, true, members...))
+			for _, b := range test.beats {
+				p.play(b)
+			}
+			is.Equal(p.model.Snapshot().Watches, test.watches)
+			is.Equal(p.model.Snapshot().Leads, test.leads)
+		})
+	}
+}
+
+// TestRegister has an entry register until it is listed, again when its entry is
+// gone, and remove entries that were silent for long.
+func TestRegister(t *testing.T) {
+	is := is.New(t)
+	p := newPlayer("e1")
+	p.after(TickInterval)
+	is.Equal(len(p.asked), 1)
+	p.play(RegisteredMsg{Err: banyanplank.ErrUncertain})
+	p.after(registerPause)
+	is.Equal(len(p.asked), 2)
+	p.play(RegisteredMsg{})
+	p.after(3 * registerPause)
+	is.Equal(len(p.asked), 2)
+	p.play(topicMsg(banyanplank.TopicMembers, 5, true, banyanplank.Listed{Key: "old", Value: banyanplank.Member{ID: "old", Incarnation: 1}}))
+	p.after(registerPause)
+	is.Equal(p.asked[2], RegisterCmd{Member: p.model.self})
+	p.play(RegisteredMsg{})
+	p.asked = nil
+	p.after(forgetAge)
+	is.Equal(p.asked, []banyanplank.Command{RemoveCmd{ID: "old"}})
+}
+
+// TestRestartedPeer has a peer that starts again count with its new address.
+func TestRestartedPeer(t *testing.T) {
+	is := is.New(t)
+	p := newPlayer("e1")
+	p.play(beat("e2", "a", true, false))
+	again := beat("e2", "a", true, false)
+	again.Beat.Incarnation = 2
+	again.Beat.Peer = netip.MustParseAddrPort("10.0.0.9:1")
+	s := p.play(again)
+	is.Equal(s.Peers[0].Peer, again.Beat.Peer)
+	s = p.play(beat("e2", "a", false, false)) // late, of the run before
+	is.Equal(s.Peers[0].Peer, again.Beat.Peer)
+}
--- a/state/follower/follower.go
+++ b/state/follower/follower.go
@@ -169,6 +169,9 @@
 	if c.listed && !c.watches() {
 		c.idle(ctx)
 		wait = 0
+		if err := ctx.Err(); err != nil {
+			return err
+		}
 	}
 	c.asked = time.Now()
 	msg := TopicMsg{Topic: c.topic, Whole: !c.listed, Resumed: c.lost, Sent: time.Now()}
