--- a/coordination/beater/beat.go
+++ b/coordination/beater/beat.go
@@ -24,6 +24,8 @@
 	Ready bool `json:"ready"`
 	// Blind tells that the sender can't follow the platform's topics.
 	Blind bool `json:"blind,omitempty"`
+	// Watches tells that the sender watches the platform's topics for others.
+	Watches bool `json:"watches,omitempty"`
 	// InFlight counts the sender's calls by endpoint.
 	InFlight map[banyanplank.BackendID]int `json:"calls,omitempty"`
 	// Revisions tells up to where the sender knows changes of each topic.
--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -96,6 +96,8 @@
 	members  map[banyanplank.DaemonID]*membership
 	topics   map[banyanplank.Topic]*topic
 	draining bool
+	// dark is when no entry that watches could last see the platform.
+	dark time.Time
 	// registered tells that the own entry was written, asked when that was
 	// last tried.
 	registered bool
@@ -121,7 +123,9 @@
 	heard time.Time
 	ready bool
 	blind bool
-	alive bool
+	// watches tells that the entry watches the platform for others.
+	watches bool
+	alive   bool
 }
 
 // topic is how far a topic is known.
@@ -143,6 +147,7 @@
 		members: make(map[banyanplank.DaemonID]*membership),
 		topics:  make(map[banyanplank.Topic]*topic),
 	}
+	m.snapshot = &Snapshot{}
 	m.publish()
 	return m
 }
@@ -207,7 +212,7 @@
 		t.lost = false
 		m.note(NoteCmd{Event: "topic regained", Topic: msg.Topic, Revision: msg.Revision})
 	}
-	graced := now.Sub(t.resumed) < returnGrace && !t.resumed.IsZero()
+	graced := now.Sub(later(t.resumed, m.dark)) < returnGrace
 	switch msg.Topic {
 	case banyanplank.TopicRouting:
 		m.route(now, msg)
@@ -378,11 +383,11 @@
 		return false
 	}
 	s.heard = now
-	changed = !s.alive || s.member.Incarnation != before || s.ready != beat.Ready || s.blind != beat.Blind
+	changed = !s.alive || s.member.Incarnation != before || s.ready != beat.Ready || s.blind != beat.Blind || s.watches != beat.Watches
 	if !s.alive {
 		m.note(NoteCmd{Event: "peer heard", Topic: banyanplank.TopicMembers, Key: string(beat.From)})
 	}
-	s.alive, s.ready, s.blind = true, beat.Ready, beat.Blind
+	s.alive, s.ready, s.blind, s.watches = true, beat.Ready, beat.Blind, beat.Watches
 	return changed
 }
 
@@ -402,10 +407,43 @@
 			m.note(NoteCmd{Event: "peer silent", Topic: banyanplank.TopicMembers, Key: string(id), Age: now.Sub(s.heard)})
 		}
 	}
+	seen := m.snapshot.Watches && !m.snapshot.Blind
+	if m.snapshot.Ready && !seen && !m.isSeenByPeers() {
+		m.dark = now
+	}
 	m.tend(now)
 	return changed
 }
 
+// isSeenByPeers reports whether some other entry that watches the platform can
+// see it.
+func (m *Model) isSeenByPeers() bool {
+	for _, s := range m.members {
+		if s.alive && s.watches && !s.blind {
+			return true
+		}
+	}
+	return false
+}
+
+// watches reports whether this entry has to watch the platform for others. The
+// first of a zone does. A later one does while all before it are blind: the second
+// always, the others only while someone can see the platform, so that not all
+// call it while it is down.
+func (m *Model) watches() bool {
+	before := 0
+	for id, s := range m.members {
+		if !s.alive || s.member.Zone != m.self.Zone || id > m.self.ID {
+			continue
+		}
+		if !s.blind {
+			return false
+		}
+		before++
+	}
+	return before < 2 || m.isSeenByPeers()
+}
+
 // ageOf returns how old the last heartbeat of a live entry may be.
 func (m *Model) ageOf(s *membership) (age time.Duration) {
 	if s.member.Zone == m.self.Zone {
@@ -473,11 +511,7 @@
 	if s.Ready {
 		s.Entries = append(s.Entries, m.self)
 	}
-	s.Watches = true
 	for _, member := range m.members {
-		if member.alive && !member.blind && member.member.Zone == m.self.Zone && member.member.ID < m.self.ID {
-			s.Watches = false
-		}
 		s.Peers = append(s.Peers, member.member)
 		if member.alive {
 			s.Alive++
@@ -487,6 +521,7 @@
 		}
 	}
 	slices.SortFunc(s.Entries, func(a, b banyanplank.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	s.Watches = m.watches()
 	// Of two parts of the entries that don't hear each other, one leads at most.
 	s.Leads = s.Ready && s.Entries[0].ID == m.self.ID && 2*s.Alive > len(m.members)+1
 	m.snapshot = s
--- a/coordination/surveyor/surveyor_test.go
+++ b/coordination/surveyor/surveyor_test.go
@@ -185,6 +185,46 @@
 	is.Equal(ready(), nil) // e1 is silent
 }
 
+// watching returns a heartbeat of an entry that watches the platform.
+func watching(msg HeardMsg) HeardMsg {
+	msg.Beat.Watches = true
+	return msg
+}
+
+// TestOutageSeenByOthers has an entry that doesn't watch give endpoints time to
+// return after an outage that only those that watch have seen.
+func TestOutageSeenByOthers(t *testing.T) {
+	tests := map[string]struct {
+		beats []HeardMsg // while the platform is away
+		blind bool       // this entry, which is the second of its zone
+		kept  bool
+	}{
+		"all that watch are blind": {[]HeardMsg{watching(beat("e1", "a", true, true)), watching(beat("e3", "b", true, true))}, true, true},
+		"one that watches can see": {[]HeardMsg{watching(beat("e1", "a", true, false)), watching(beat("e3", "b", true, true))}, false, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPlayer("e2")
+			p.play(topicMsg(banyanplank.TopicRouting, 1, true, table(1)))
+			p.play(topicMsg(banyanplank.TopicZonesOut, 1, true))
+			p.play(topicMsg(banyanplank.TopicBackends, 10, true, backend("x", false)))
+			if test.blind {
+				p.play(follower.LostMsg{Topic: banyanplank.TopicZonesOut})
+			}
+			for range 5 {
+				for _, b := range test.beats {
+					p.play(b)
+				}
+				p.after(TickInterval)
+			}
+			s := p.play(topicMsg(banyanplank.TopicBackends, 11, false, banyanplank.Listed{Key: "x"}))
+			is.Equal(len(s.Backends) == 1, test.kept)
+			is.Equal(len(p.after(returnGrace+TickInterval).Backends), 0)
+		})
+	}
+}
+
 func TestWatchesAndLeads(t *testing.T) {
 	tests := map[string]struct {
 		beats          []HeardMsg
@@ -195,6 +235,8 @@
 		"after another in the zone":        {beats: []HeardMsg{beat("e1", "a", true, false)}},
 		"before another in the zone":       {beats: []HeardMsg{beat("e5", "a", true, false)}, watches: true, leads: true},
 		"after one that can't see":         {beats: []HeardMsg{beat("e1", "a", true, true)}, watches: true},
+		"after two that can't see":         {beats: []HeardMsg{beat("e0", "a", true, true), beat("e1", "a", true, true)}},
+		"after two, while others see":      {beats: []HeardMsg{beat("e0", "a", true, true), beat("e1", "a", true, true), watching(beat("e3", "b", true, false))}, watches: true},
 		"after one of another zone":        {beats: []HeardMsg{beat("e1", "b", true, false)}, watches: true},
 		"hears less than half of the rest": {beats: []HeardMsg{beat("e5", "b", true, false)}, listed: 3, watches: true},
 		"hears most of the rest":           {beats: []HeardMsg{beat("e5", "b", true, false), beat("e6", "b", true, false)}, listed: 2, watches: true, leads: true},
--- a/discovery.go
+++ b/discovery.go
@@ -20,8 +20,12 @@
 	// Changes waits for changes after a revision and returns them with the
 	// revision to go on from. It returns none when wait has passed.
 	Changes(ctx context.Context, topic Topic, after Version, wait time.Duration) (entries []Listed, revision Version, err error)
-	// Register writes the entry of a member, whatever was there before.
-	Register(ctx context.Context, member Member) (err error)
+	// Peek returns the changes after a revision that are known by now. It is
+	// cheap, and may be behind: the revision tells how far it goes.
+	Peek(ctx context.Context, topic Topic, after Version) (entries []Listed, revision Version, err error)
+	// Register writes the entry of a member, whatever was there before, and
+	// returns the revision of the change.
+	Register(ctx context.Context, member Member) (revision Version, err error)
 	// Remove removes the entry of a member.
 	Remove(ctx context.Context, id DaemonID) (err error)
 }
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -39,6 +39,11 @@
 	idleTimeout = 2 * time.Minute
 )
 
+// memberPoll is the time between two looks at the platform's list of entries. An
+// entry that starts reads the list and sends heartbeats to all, so the list only
+// has to be tidied.
+const memberPoll = 20 * time.Second
+
 // farEvery is how many heartbeats go to the own zone for each that crosses to
 // another one. Bytes between zones cost the operators.
 const farEvery = 5
@@ -138,7 +143,11 @@
 	case surveyor.NoteCmd:
 		e.note(c)
 	case surveyor.RegisterCmd:
-		return surveyor.RegisteredMsg{Err: e.discovery.Register(ctx, c.Member)}
+		revision, err := e.discovery.Register(ctx, c.Member)
+		// Of two entries that start together, the one that registers last has to
+		// see the other.
+		e.follower.Hint(banyanplank.TopicMembers, revision)
+		return surveyor.RegisteredMsg{Err: err}
 	case surveyor.RemoveCmd:
 		err := e.discovery.Remove(ctx, c.ID)
 		e.note(surveyor.NoteCmd{Event: "remove member", Topic: banyanplank.TopicMembers, Key: string(c.ID), Err: err})
@@ -220,7 +229,11 @@
 	work.Go(d.stepper.Run)
 	b := beater.New(d.settings.Listen.Peer, d.compose, d.hear, d.failBeat)
 	work.Go(b.Run)
-	for _, topic := range []banyanplank.Topic{banyanplank.TopicRouting, banyanplank.TopicBackends, banyanplank.TopicZonesOut, banyanplank.TopicMembers} {
+	work.Go(func(ctx context.Context) error {
+		d.follower.Poll(ctx, banyanplank.TopicMembers, memberPoll)
+		return nil
+	})
+	for _, topic := range []banyanplank.Topic{banyanplank.TopicRouting, banyanplank.TopicBackends, banyanplank.TopicZonesOut} {
 		work.Go(func(ctx context.Context) error {
 			d.follower.Follow(ctx, topic)
 			return nil
@@ -301,6 +314,7 @@
 		Caller:      d.member.Caller,
 		Ready:       snapshot.Ready,
 		Blind:       snapshot.Blind,
+		Watches:     snapshot.Watches,
 		InFlight:    d.balancer.InFlight(),
 		Revisions:   snapshot.Revisions,
 	}, peers
@@ -310,7 +324,10 @@
 func (d *Daemon) hear(beat *beater.Beat) {
 	d.balancer.Hear(time.Now(), beat.From, beat.InFlight)
 	for topic, revision := range beat.Revisions {
-		d.follower.Hint(topic, revision)
+		// Peers tell of themselves in their heartbeats.
+		if topic != banyanplank.TopicMembers {
+			d.follower.Hint(topic, revision)
+		}
 	}
 	d.loop.Send(context.Background(), surveyor.HeardMsg{Beat: beat})
 }
--- a/state/follower/follower.go
+++ b/state/follower/follower.go
@@ -31,6 +31,9 @@
 	DefaultPause = 250 * time.Millisecond
 	// DefaultPoll is how long a daemon that doesn't watch goes without asking.
 	DefaultPoll = 10 * time.Second
+	// idlePause is the longest pause after a failed call of a daemon that doesn't
+	// watch: those that do tell when the platform is back.
+	idlePause = 2 * time.Second
 	// settle is how long to wait after a hint, since changes come in series.
 	settle = 60 * time.Millisecond
 	// recheck is how often a daemon looks whether it has to watch.
@@ -142,9 +145,21 @@
 	return h.revision
 }
 
+// Poll asks for the changes of a topic at every interval until ctx ends, and
+// doesn't watch it. Use it for what may be known late.
+func (f *Follower) Poll(ctx context.Context, topic banyanplank.Topic, interval time.Duration) {
+	c := cursor{Follower: f, topic: topic, hint: f.hint(topic), poll: interval, watches: func() bool { return false }}
+	c.follow(ctx)
+}
+
 // Follow follows a topic until ctx ends.
 func (f *Follower) Follow(ctx context.Context, topic banyanplank.Topic) {
-	c := cursor{Follower: f, topic: topic, hint: f.hint(topic)}
+	c := cursor{Follower: f, topic: topic, hint: f.hint(topic), poll: DefaultPoll, watches: f.watches}
+	c.follow(ctx)
+}
+
+// follow makes calls until ctx ends.
+func (c *cursor) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := c.advance(ctx); err != nil {
 			c.fail(ctx, err)
@@ -157,6 +172,8 @@
 	*Follower
 	topic    banyanplank.Topic
 	hint     *hint
+	poll     time.Duration
+	watches  func() bool
 	revision banyanplank.Version
 	asked    time.Time
 	listed   bool
@@ -175,10 +192,13 @@
 	}
 	c.asked = time.Now()
 	msg := TopicMsg{Topic: c.topic, Whole: !c.listed, Resumed: c.lost, Sent: time.Now()}
-	if c.listed {
-		msg.Entries, msg.Revision, err = c.discovery.Changes(ctx, c.topic, c.revision, wait)
-	} else {
+	switch {
+	case !c.listed:
 		msg.Entries, msg.Revision, err = c.discovery.List(ctx, c.topic)
+	case wait == 0:
+		msg.Entries, msg.Revision, err = c.ask(ctx)
+	default:
+		msg.Entries, msg.Revision, err = c.discovery.Changes(ctx, c.topic, c.revision, wait)
 	}
 	if err != nil {
 		return err
@@ -188,11 +208,20 @@
 	return nil
 }
 
+// ask returns the changes by now, as far as peers know them at least.
+func (c *cursor) ask(ctx context.Context) (entries []banyanplank.Listed, revision banyanplank.Version, err error) {
+	entries, revision, err = c.discovery.Peek(ctx, c.topic, c.revision)
+	if err == nil && revision >= max(c.revision, c.hinted(c.hint)) {
+		return entries, revision, nil
+	}
+	return c.discovery.Changes(ctx, c.topic, c.revision, 0)
+}
+
 // idle waits until there are changes to ask for, or this daemon has to watch.
 func (c *cursor) idle(ctx context.Context) {
 	ticker := time.NewTicker(recheck)
 	defer ticker.Stop()
-	for c.hinted(c.hint) <= c.revision && time.Since(c.asked) < DefaultPoll && !c.watches() {
+	for c.hinted(c.hint) <= c.revision && time.Since(c.asked) < c.poll && !c.watches() {
 		select {
 		case <-ctx.Done():
 			return
@@ -216,7 +245,11 @@
 		c.send(LostMsg{Topic: c.topic, Err: err})
 	}
 	c.lost = true
-	pause(ctx, c.pause/2+rand.N(c.pause/2))
+	longest := c.pause
+	if c.listed && !c.watches() {
+		longest = idlePause
+	}
+	pause(ctx, longest/2+rand.N(longest/2))
 }
 
 // pause waits.
