Prepare another map when a rank will carry out an order late

A rank that lost one refuses the same map until it has carried it out, 2 to 12 s later, so switches ended after 4 s without effect and the skew stayed at 3. Rounds also planned again while the last map was still to come into use. Change: while few orders get lost another map is prepared at once; otherwise the late orders are waited for. A round ends when a map is armed. The stand-in group refuses as the platform's ranks do.

--- a/coordination/stepper/stepper.go
+++ b/coordination/stepper/stepper.go
@@ -120,6 +120,9 @@
 	if err := g.settle(ctx); err != nil {
 		return err
 	}
+	if g.isArmed() {
+		return nil
+	}
 	if err := s.learn(ctx, t, g); err != nil {
 		return err
 	}
@@ -235,9 +238,16 @@
 // change brings a planned map into use.
 func (s *Stepper) change(ctx context.Context, service banyanplank.ServiceName, t *term, g *group, p plan) (err error) {
 	began := time.Now()
-	id := nextID(t.last)
-	t.last = id
-	if err = g.prepare(ctx, id, p.places); err == nil {
+	id := t.next()
+	err = g.prepare(ctx, id, p.places)
+	for range prepareTries {
+		if !errors.Is(err, errLate) {
+			break
+		}
+		id = t.next()
+		err = g.prepare(ctx, id, p.places)
+	}
+	if err == nil {
 		err = g.adopt(ctx, id)
 	}
 	if err == nil {
@@ -249,6 +259,12 @@
 	return nil
 }
 
+// next returns the id of the next map.
+func (t *term) next() (id banyanplank.MapID) {
+	t.last = nextID(t.last)
+	return t.last
+}
+
 // nextID returns an id above last that no other entry draws.
 func nextID(last banyanplank.MapID) (id banyanplank.MapID) {
 	return (last>>leadBits+1)<<leadBits | banyanplank.MapID(rand.N(1<<leadBits))
--- a/coordination/stepper/switch.go
+++ b/coordination/stepper/switch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,8 +13,17 @@
 
 // The times of a switch.
 const (
-	// prepareLimit bounds the time in which all ranks load their weights.
-	prepareLimit = 4 * time.Second
+	// lateLimit bounds the time in which all ranks load their weights. Orders
+	// that got no answer are carried out up to 12 s later, as the platform's
+	// pages state it.
+	lateLimit = 13 * time.Second
+	// prepareTries bounds the maps that are prepared one after the other because
+	// some rank gave no answer. It refuses the same map again until it has
+	// carried the first order out.
+	prepareTries = 8
+	// retryShare is the part of the orders without an answer up to which another
+	// try is sooner through than the late orders are carried out.
+	retryShare = 0.13
 	// armLead is how far ahead the held pass is. The orders to all ranks take a
 	// few round trips.
 	armLead = 120 * time.Millisecond
@@ -40,6 +50,9 @@
 // that the switch began with.
 var errMoved = errors.New("the group has changed")
 
+// errLate means that a rank will carry out an order late.
+var errLate = errors.New("a rank gave no answer")
+
 // errSuperseded means that a rank has prepared another map meanwhile.
 var errSuperseded = errors.New("a rank has prepared another map")
 
@@ -51,8 +64,10 @@
 	epoch    uint64
 	// pass is how long a pass takes.
 	pass time.Duration
-	// lossy tells that some order has got no answer.
+	// lossy tells that some order has got no answer, and lost which part of the
+	// latest orders has not.
 	lossy bool
+	lost  float64
 }
 
 // refresh reads the reports of all ranks. The error is errMoved when they don't
@@ -98,8 +113,11 @@
 	defer cancel()
 	for {
 		left = g.give(ctx, order, left)
-		if order.Kind != banyanplank.RankPrepare && len(left) == 0 {
+		switch {
+		case order.Kind != banyanplank.RankPrepare && len(left) == 0:
 			return nil
+		case order.Kind == banyanplank.RankPrepare && g.lost > 0 && g.expectsTry():
+			return errLate
 		}
 		if err := g.refresh(ctx); err != nil && (errors.Is(err, errMoved) || ctx.Err() != nil) {
 			return err
@@ -122,6 +140,16 @@
 	}
 }
 
+// isArmed reports whether a map will come into use at a pass ahead.
+func (g *group) isArmed() bool {
+	for _, r := range g.reports {
+		if r.Armed != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // give gives an order to several ranks and returns those that have not accepted it.
 func (g *group) give(ctx context.Context, order banyanplank.RankOrder, to []*banyanplank.Backend) (left []*banyanplank.Backend) {
 	failed := make([]error, len(to))
@@ -130,15 +158,28 @@
 		work.Go(func() { failed[i] = g.ranks.Order(ctx, b, order) })
 	}
 	work.Wait()
+	lost := 0
 	for i, b := range to {
 		if failed[i] != nil {
 			left = append(left, b)
 		}
-		g.lossy = g.lossy || errors.Is(failed[i], banyanplank.ErrUncertain)
+		if errors.Is(failed[i], banyanplank.ErrUncertain) {
+			lost++
+		}
+	}
+	if len(to) > 0 {
+		g.lost = float64(lost) / float64(len(to))
 	}
+	g.lossy = g.lossy || lost > 0
 	return left
 }
 
+// expectsTry reports whether another map is likely prepared at all ranks before
+// the late orders for this one are carried out.
+func (g *group) expectsTry() bool {
+	return g.lost <= retryShare && math.Pow(1-g.lost, float64(len(g.backends))) > 1.0/prepareTries
+}
+
 // wait pauses.
 func wait(ctx context.Context, pause time.Duration) (err error) {
 	select {
@@ -152,7 +193,7 @@
 // prepare lets all ranks load a map.
 func (g *group) prepare(ctx context.Context, id banyanplank.MapID, p places) (err error) {
 	order := banyanplank.RankOrder{Kind: banyanplank.RankPrepare, Epoch: g.epoch, Map: id, Places: p}
-	err = g.all(ctx, order, prepareLimit, func(r banyanplank.RankReport) bool { return r.Prepared != id })
+	err = g.all(ctx, order, lateLimit, func(r banyanplank.RankReport) bool { return r.Prepared != id })
 	return errors.Wrapf(err, "prepare map %d", id)
 }
 
--- a/coordination/stepper/world_test.go
+++ b/coordination/stepper/world_test.go
@@ -46,7 +46,9 @@
 	at       uint64
 	held     uint64
 	highest  banyanplank.MapID
-	counts   []uint64
+	// coming is the id of an order that is carried out late.
+	coming banyanplank.MapID
+	counts []uint64
 }
 
 // newWorld returns a group with map 0, which places the experts by turns.
@@ -179,6 +181,10 @@
 // when it thaws.
 func (w *world) Order(ctx context.Context, backend *banyanplank.Backend, order banyanplank.RankOrder) (err error) {
 	w.mutex.Lock()
+	if r := w.ranks[backend.Rank]; order.Kind == banyanplank.RankPrepare && order.Map <= r.highest {
+		w.mutex.Unlock()
+		return banyanplank.ErrConflict
+	}
 	thaw := w.frozen[backend.Rank]
 	late := time.Duration(0)
 	if w.random.Float64() < w.lost {
@@ -188,6 +194,14 @@
 	if thaw == nil && late == 0 {
 		return w.carryOut(backend.Rank, order)
 	}
+	if order.Kind == banyanplank.RankPrepare && thaw == nil {
+		w.mutex.Lock()
+		// The rank knows the id of an order that it carries out late.
+		if r := w.ranks[backend.Rank]; order.Map > r.highest {
+			r.highest, r.coming = order.Map, order.Map
+		}
+		w.mutex.Unlock()
+	}
 	w.late.Go(func() {
 		if thaw != nil {
 			<-thaw
@@ -209,9 +223,9 @@
 	refused := order.Epoch != w.epoch
 	switch order.Kind {
 	case banyanplank.RankPrepare:
-		refused = refused || order.Map <= r.highest || r.armed != 0
+		refused = refused || (order.Map <= r.highest && order.Map != r.coming) || r.armed != 0
 		if !refused {
-			r.highest, r.prepared, r.next = order.Map, order.Map, nil
+			r.highest, r.coming, r.prepared, r.next = max(r.highest, order.Map), 0, order.Map, nil
 			for _, layer := range order.Places {
 				r.next = append(r.next, layer[i])
 			}
