Settle a switch that another entry left, tell of slow ranks, refuse while down

(2) Callers of a group that had lost a rank were told to return after 60 ms and were refused again. (3) A rank that works 12 times as long holds up all. Change: (1) a prepare that finds armed ranks or a foreign held pass ends, and the next round settles it. (2) While a group stands still calls are refused at once, but for one each quarter of a second, and told to return after 1.2 to 2.4 s; its ranks are not blamed. (3) The leader leaves slow ranks without experts and tells the others, which send them nothing and resume their streams elsewhere.

--- a/coordination/balancer/balancer.go
+++ b/coordination/balancer/balancer.go
@@ -44,6 +44,8 @@
 	span   time.Duration
 	pools  map[banyanplank.ServiceName]*pool
 	peers  map[banyanplank.DaemonID]peerWord
+	// slow tells until when endpoints count as slow.
+	slow map[banyanplank.BackendID]time.Time
 	// others counts the calls of all peers by endpoint.
 	others map[banyanplank.BackendID]int
 }
@@ -63,6 +65,7 @@
 		span:   10 * time.Second,
 		pools:  make(map[banyanplank.ServiceName]*pool),
 		peers:  make(map[banyanplank.DaemonID]peerWord),
+		slow:   make(map[banyanplank.BackendID]time.Time),
 		others: make(map[banyanplank.BackendID]int),
 	}
 	for _, option := range options {
@@ -136,6 +139,31 @@
 	}
 }
 
+// slowAge is how old the word that an endpoint is slow may be.
+const slowAge = 2 * time.Second
+
+// Slow takes in which endpoints hold up their group of ranks. They get no calls
+// while others have room, until nobody says so any more.
+func (b *Balancer) Slow(now time.Time, endpoints []banyanplank.BackendID) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, id := range endpoints {
+		b.slow[id] = now.Add(slowAge)
+	}
+	for id, until := range b.slow {
+		if now.After(until) {
+			delete(b.slow, id)
+		}
+	}
+}
+
+// IsSlow reports whether an endpoint holds up its group of ranks.
+func (b *Balancer) IsSlow(id banyanplank.BackendID) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return time.Now().Before(b.slow[id])
+}
+
 // shift adds calls of a peer to what the endpoints hold, or takes them away.
 func (b *Balancer) shift(inFlight map[banyanplank.BackendID]int, sign int) {
 	for id, n := range inFlight {
@@ -218,6 +246,24 @@
 	return p != nil && p.budget.take(time.Now())
 }
 
+// RetryAfter returns when the caller of a call that an endpoint has not run should
+// return.
+func (b *Balancer) RetryAfter(service banyanplank.ServiceName) (after time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := time.Now()
+	switch p := b.pools[service]; {
+	case p == nil:
+		return retryUnknown
+	case p.isDown(now):
+		return p.retryBroken(now)
+	case p.spec.Engine == nil:
+		return retryFull + time.Duration(b.random.Int64N(int64(retryFull)))
+	default:
+		return p.retryAfter()
+	}
+}
+
 // Observe takes in the time between two events of a running stream.
 func (b *Balancer) Observe(service banyanplank.ServiceName, gap time.Duration) {
 	b.mutex.Lock()
--- a/coordination/balancer/lease.go
+++ b/coordination/balancer/lease.go
@@ -43,6 +43,7 @@
 	pool   *pool
 	seat   *seat
 	prompt int
+	begun  bool
 	began  time.Time
 }
 
@@ -52,6 +53,10 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	l.read()
+	l.begun = true
+	l.seat.begun++
+	l.pool.broken = false
+	l.pool.pace.last = time.Now()
 }
 
 // read takes the prompt out of those that the endpoint has to read.
@@ -69,11 +74,23 @@
 	s := l.seat
 	l.read()
 	s.own--
+	if l.begun {
+		s.begun--
+	}
 	s.trying = false
 	l.pool.count(now)
 	if result.Cold > 0 {
 		s.coldUntil = now.Add(result.Cold)
 	}
+	if result.Kind == Declined && result.Blameless && l.pool.spec.Engine != nil {
+		l.pool.broken = true
+		l.pool.probed = now
+	}
+	// When a group of ranks stands still, all its streams are cut, whichever
+	// rank was lost.
+	if l.pool.spec.Engine != nil && l.pool.isSilent(now) {
+		result.Blameless = true
+	}
 	switch {
 	case result.Kind == Served:
 		s.serve(now, now.Sub(l.began))
--- /dev/null
+++ b/coordination/balancer/lost_test.go
@@ -0,0 +1,62 @@
+package balancer
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// TestLostRank has a group of ranks lose one. Its streams fall silent, then all
+// calls are declined for two seconds. Callers are refused at once and told to
+// return when it is likely open, few calls are sent in vain, and the group is used
+// again soon after it opens.
+func TestLostRank(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newTest(engine(12), endpoints("chat", 16, 12, "a"), 1)
+		var streams []*Lease
+		for range 20 {
+			lease, err := b.Acquire(t.Context(), Query{Service: "chat", Goal: 400 * time.Millisecond})
+			is.NoErr(err)
+			lease.Begun()
+			streams = append(streams, lease)
+		}
+		const stall, down = 1500 * time.Millisecond, 2 * time.Second
+		begin := time.Now()
+		sent, refused, served := 0, 0, time.Duration(0)
+		for time.Since(begin) < stall+down+time.Second {
+			age := time.Since(begin)
+			if age >= stall {
+				for _, l := range streams {
+					l.Finish(Result{Kind: Failed})
+				}
+				streams = nil
+			}
+			lease, err := b.Acquire(t.Context(), Query{Service: "chat", Goal: 400 * time.Millisecond})
+			switch {
+			case err != nil:
+				refusal := refusalOf(t, err)
+				is.Equal(refusal.Outcome, banyanplank.NotRun)
+				is.True(refusal.RetryAfter >= time.Second)
+				refused++
+			case age > silence && age < stall+down:
+				sent++
+				lease.Finish(Result{Kind: Declined, Blameless: true})
+			default:
+				if age >= stall+down && served == 0 {
+					served = age - stall - down
+				}
+				lease.Begun()
+				lease.Finish(Result{Kind: Served})
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		is.True(sent <= 14) // one in each quarter of a second, of 150
+		is.True(refused >= 100)
+		is.True(served <= probePause+20*time.Millisecond)
+	})
+}
--- a/coordination/balancer/pool.go
+++ b/coordination/balancer/pool.go
@@ -11,13 +11,31 @@
 const (
 	// retryUnknown is for a cause whose end can't be foreseen.
 	retryUnknown = 500 * time.Millisecond
+	// retryFull is for a plain endpoint that was full: its calls take some ten
+	// milliseconds.
+	retryFull = 50 * time.Millisecond
 	// retryLeast and retryMost bound the time when all endpoints are busy. The
 	// callers that are refused together must not return together.
 	retryLeast = 250 * time.Millisecond
 	retryMost  = 2 * time.Second
-	// retryBroken is for a group of ranks that stands still: it opens again
-	// some seconds after its lost rank is back.
-	retryBroken = 1500 * time.Millisecond
+	// retryBroken and retryBrokenMost bound the time for a group of ranks that
+	// has lost one: it opens again when that one is back, which takes seconds.
+	// Callers wait no longer than a third of the time that they have left.
+	retryBroken     = 1200 * time.Millisecond
+	retryBrokenMost = 2400 * time.Millisecond
+)
+
+// The signs of a group of ranks that has lost one.
+const (
+	// silence is how long no stream of a service goes on before its group is
+	// taken to stand still. A pass takes a tenth of a second.
+	silence = 500 * time.Millisecond
+	// silentPasses is the same in passes, for groups that are slow.
+	silentPasses = 4
+	// leastStreams is the number of streams whose silence tells of the group.
+	leastStreams = 3
+	// probePause is the time between two calls that try whether the group is open.
+	probePause = 250 * time.Millisecond
 )
 
 // The bounds on waiting.
@@ -52,6 +70,10 @@
 	finished float64
 	rate     float64
 	since    time.Time
+	// broken tells that a rank of the group was said to be lost, and probed
+	// when a call was last let through to try.
+	broken bool
+	probed time.Time
 }
 
 // waiter is a call that waits for a place.
@@ -125,6 +147,10 @@
 	if len(query.Avoid) == 0 {
 		p.budget.fresh(now)
 	}
+	if p.isDown(now) && now.Sub(p.probed) < probePause {
+		return nil, nil, refuse(banyanplank.ReasonNoEndpoint, p.retryBroken(now), "the group of ranks stands still")
+	}
+	p.probed = now
 	if len(p.waiting) == 0 {
 		if s := p.choose(now, query); s != nil {
 			return p.grant(now, s, query), nil, nil
@@ -164,7 +190,10 @@
 
 // retryBroken returns when a call that finds no endpoint should return.
 func (p *pool) retryBroken(now time.Time) (after time.Duration) {
-	soonest := retryBroken
+	if p.spec.Engine != nil {
+		return retryBroken + time.Duration(p.owner.random.Int64N(int64(retryBrokenMost-retryBroken)))
+	}
+	soonest := retryUnknown
 	for _, s := range p.order {
 		if left := s.ejectedUntil.Sub(now); left > 0 && !s.out && !s.backend.Leaving {
 			soonest = min(soonest, left)
@@ -173,6 +202,24 @@
 	return soonest + time.Duration(p.owner.random.Int64N(int64(retryLeast)))
 }
 
+// isDown reports whether the group of ranks behind the service stands still: one
+// was said to be lost, or no stream goes on.
+func (p *pool) isDown(now time.Time) bool {
+	if p.spec.Engine == nil {
+		return false
+	}
+	streams := 0
+	for _, s := range p.order {
+		streams += s.begun
+	}
+	return p.broken || (streams >= leastStreams && p.isSilent(now))
+}
+
+// isSilent reports whether no stream has gone on for long.
+func (p *pool) isSilent(now time.Time) bool {
+	return now.Sub(p.pace.last) > max(silence, silentPasses*p.pace.mean)
+}
+
 // isUsable reports whether some endpoint could take the call once it has room.
 func (p *pool) isUsable(now time.Time, query Query) bool {
 	for _, s := range p.order {
@@ -197,7 +244,7 @@
 		if cost := s.cost(now, p.owner); best == nil || cost < lowest {
 			best, lowest = s, cost
 		}
-		if s.backend.Zone == p.owner.zone || p.near == 0 {
+		if (s.backend.Zone == p.owner.zone || p.near == 0) && !now.Before(p.owner.slow[s.backend.ID]) {
 			seen++
 		}
 		if seen >= sample {
--- a/coordination/balancer/seat.go
+++ b/coordination/balancer/seat.go
@@ -13,6 +13,8 @@
 	farCost = 0.4
 	// failureCost is for an endpoint all of whose calls fail.
 	failureCost = 8
+	// slowCost is for an endpoint that holds up its group of ranks.
+	slowCost = 100
 	// jitterCost breaks ties, so that entries do not all choose the same.
 	jitterCost = 0.3
 	// tokensPerCall is the prompt tokens that weigh as much as one more call.
@@ -40,6 +42,8 @@
 	out bool
 	// own counts the calls of this entry in flight.
 	own int
+	// begun counts those that have their first event.
+	begun int
 	// unread is the prompt tokens of calls that have no first event yet.
 	unread int
 	// failures is the share of calls that failed lately, latency how long the
@@ -108,6 +112,9 @@
 	if s.backend.Zone != b.zone {
 		cost += farCost
 	}
+	if now.Before(b.slow[s.backend.ID]) {
+		cost += slowCost
+	}
 	return cost + jitterCost*b.random.Float64()
 }
 
--- a/coordination/beater/beat.go
+++ b/coordination/beater/beat.go
@@ -28,6 +28,9 @@
 	Watches bool `json:"watches,omitempty"`
 	// InFlight counts the sender's calls by endpoint.
 	InFlight map[banyanplank.BackendID]int `json:"calls,omitempty"`
+	// Slow lists the endpoints that hold up their group of ranks, as the entry
+	// that leads has found.
+	Slow []banyanplank.BackendID `json:"slow,omitempty"`
 	// Revisions tells up to where the sender knows changes of each topic.
 	Revisions map[banyanplank.Topic]banyanplank.Version `json:"revisions,omitempty"`
 }
--- a/coordination/stepper/plan.go
+++ b/coordination/stepper/plan.go
@@ -27,6 +27,11 @@
 	longPass  = 0.6
 	// nominalSteps is the steps a second that demand is scaled to.
 	nominalSteps = 100
+	// slowPace is how many times its usual time a rank must take to be left
+	// without experts and calls, since all ranks wait for it.
+	slowPace = 2
+	// mostSlow is the part of the ranks that may be left out for slowness.
+	mostSlow = 0.25
 )
 
 // places holds the experts of a map by layer and rank.
@@ -42,6 +47,8 @@
 	// gain is the part of the step time that the map wins.
 	gain  float64
 	moved bool
+	// forced tells that experts leave a slow rank.
+	forced bool
 }
 
 // makePlan returns a map for the demand that differs from the current one by at
@@ -57,6 +64,7 @@
 		p.before += result.SkewBefore / float64(len(current))
 		p.after += result.SkewAfter / float64(len(current))
 		p.moved = p.moved || result.Moving()
+		p.forced = p.forced || result.Reason == planner.ReasonExcluded
 	}
 	// The expert part of a step grows with the skew, the rest does not.
 	share := spec.ExpertShare
@@ -90,7 +98,9 @@
 		input.Popularity.Tokens[e] = float32(w)
 		total += w
 	}
+	out := slowRanks(paces)
 	for r, pace := range paces {
+		input.Ranks[r].Excluded = out[r]
 		if pace > 1 {
 			input.Ranks[r].Speed = 1 / pace
 		}
@@ -114,6 +124,23 @@
 	return unflatten(result.Map), result, nil
 }
 
+// slowRanks returns which ranks are left out for slowness: the slowest, as long
+// as they are few.
+func slowRanks(paces []float64) (out []bool) {
+	out = make([]bool, len(paces))
+	count := 0
+	for r, pace := range paces {
+		out[r] = pace >= slowPace
+		if out[r] {
+			count++
+		}
+	}
+	if float64(count) > mostSlow*float64(len(paces)) {
+		clear(out)
+	}
+	return out
+}
+
 // flatten lays out the experts of a layer by rank and slot.
 func flatten(layer [][]uint16, shape banyanplank.MapShape) (slots []uint16) {
 	slots = make([]uint16, 0, shape.Places())
--- a/coordination/stepper/stepper.go
+++ b/coordination/stepper/stepper.go
@@ -53,12 +53,19 @@
 	return func(s *Stepper) { s.note = note }
 }
 
+// WithSlow calls slow in each round with the endpoints that hold up their group.
+// The default does nothing.
+func WithSlow(slow func(service banyanplank.ServiceName, endpoints []banyanplank.BackendID)) Option {
+	return func(s *Stepper) { s.slow = slow }
+}
+
 // Stepper keeps groups of ranks even. Run it once.
 type Stepper struct {
 	ranks    banyanplank.Ranks
 	fleet    Fleet
 	interval time.Duration
 	note     func(n Note)
+	slow     func(service banyanplank.ServiceName, endpoints []banyanplank.BackendID)
 	terms    map[banyanplank.ServiceName]*term
 }
 
@@ -81,6 +88,7 @@
 		fleet:    fleet,
 		interval: DefaultInterval,
 		note:     func(Note) {},
+		slow:     func(banyanplank.ServiceName, []banyanplank.BackendID) {},
 		terms:    make(map[banyanplank.ServiceName]*term),
 	}
 	for _, option := range options {
@@ -117,6 +125,7 @@
 		return err
 	}
 	t := s.term(pool, g)
+	s.slow(pool.Name, g.slow())
 	if err := g.settle(ctx); err != nil {
 		return err
 	}
@@ -127,7 +136,7 @@
 		return err
 	}
 	p, err := makePlan(pool.Engine, t.places, t.demand.weight, paces(g.reports))
-	if err != nil || !p.moved || p.gain < worthwhile(t.pass, gap) {
+	if err != nil || !p.moved || (!p.forced && p.gain < worthwhile(t.pass, gap)) {
 		return err
 	}
 	return s.change(ctx, pool.Name, t, g, p)
@@ -227,6 +236,16 @@
 	return err
 }
 
+// slow returns the endpoints that hold up the group.
+func (g *group) slow() (endpoints []banyanplank.BackendID) {
+	for i, out := range slowRanks(paces(g.reports)) {
+		if out {
+			endpoints = append(endpoints, g.backends[i].ID)
+		}
+	}
+	return endpoints
+}
+
 // paces returns how much slower than usual each rank is.
 func paces(reports []banyanplank.RankReport) (all []float64) {
 	for _, r := range reports {
@@ -239,13 +258,13 @@
 func (s *Stepper) change(ctx context.Context, service banyanplank.ServiceName, t *term, g *group, p plan) (err error) {
 	began := time.Now()
 	id := t.next()
-	err = g.prepare(ctx, id, p.places)
+	err = g.prepare(ctx, id, p.places, 0)
 	for range prepareTries {
 		if !errors.Is(err, errLate) {
 			break
 		}
 		id = t.next()
-		err = g.prepare(ctx, id, p.places)
+		err = g.prepare(ctx, id, p.places, 0)
 	}
 	if err == nil {
 		err = g.adopt(ctx, id)
--- a/coordination/stepper/switch.go
+++ b/coordination/stepper/switch.go
@@ -127,7 +127,7 @@
 			if pending(r) {
 				left = append(left, g.backends[i])
 			}
-			if order.Kind == banyanplank.RankArm && pending(r) && r.Prepared != order.Map {
+			if isSuperseded(order, r, pending(r)) {
 				return errSuperseded
 			}
 		}
@@ -140,6 +140,20 @@
 	}
 }
 
+// isSuperseded reports whether a rank shows that another entry is switching too.
+// The round ends then, and the next one settles what was left. A pass that was
+// held for the order itself is no such sign.
+func isSuperseded(order banyanplank.RankOrder, r banyanplank.RankReport, pending bool) bool {
+	switch order.Kind {
+	case banyanplank.RankPrepare:
+		return r.Armed != 0 || (r.Held != 0 && r.Held != order.Step)
+	case banyanplank.RankArm:
+		return pending && r.Prepared != order.Map
+	default:
+		return false
+	}
+}
+
 // isArmed reports whether a map will come into use at a pass ahead.
 func (g *group) isArmed() bool {
 	for _, r := range g.reports {
@@ -190,9 +204,9 @@
 	}
 }
 
-// prepare lets all ranks load a map.
-func (g *group) prepare(ctx context.Context, id banyanplank.MapID, p places) (err error) {
-	order := banyanplank.RankOrder{Kind: banyanplank.RankPrepare, Epoch: g.epoch, Map: id, Places: p}
+// prepare lets all ranks load a map, while the pass held is held or none.
+func (g *group) prepare(ctx context.Context, id banyanplank.MapID, p places, held uint64) (err error) {
+	order := banyanplank.RankOrder{Kind: banyanplank.RankPrepare, Epoch: g.epoch, Map: id, Places: p, Step: held}
 	err = g.all(ctx, order, lateLimit, func(r banyanplank.RankReport) bool { return r.Prepared != id })
 	return errors.Wrapf(err, "prepare map %d", id)
 }
@@ -314,7 +328,7 @@
 			}
 		}
 	}
-	if err := g.prepare(ctx, id, current); err != nil {
+	if err := g.prepare(ctx, id, current, step); err != nil {
 		return err
 	}
 	return g.arm(ctx, id, step)
--- a/coordination/stepper/world_test.go
+++ b/coordination/stepper/world_test.go
@@ -190,8 +190,12 @@
 	if w.random.Float64() < w.lost {
 		late = 2*time.Second + time.Duration(w.random.Int64N(int64(10*time.Second)))
 	}
+	way := time.Duration(w.random.Int64N(int64(8 * time.Millisecond)))
 	w.mutex.Unlock()
 	if thaw == nil && late == 0 {
+		if err := wait(ctx, way); err != nil {
+			return err
+		}
 		return w.carryOut(backend.Rank, order)
 	}
 	if order.Kind == banyanplank.RankPrepare && thaw == nil {
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -44,6 +44,10 @@
 // has to be tidied.
 const memberPoll = 20 * time.Second
 
+// slowNews is how long this entry repeats which endpoints are slow. It is shorter
+// than the time between the rounds that find it out when these can't be made.
+const slowNews = 1500 * time.Millisecond
+
 // farEvery is how many heartbeats go to the own zone for each that crosses to
 // another one. Bytes between zones cost the operators.
 const farEvery = 5
@@ -70,6 +74,7 @@
 	stepper   *stepper.Stepper
 	follower  *follower.Follower
 	beats     atomic.Uint64
+	slow      atomic.Pointer[slowWord]
 	directory http.Handler
 	ready     http.Handler
 }
@@ -103,7 +108,7 @@
 		counters:  newCounters(),
 		stall:     time.Duration(limits.Stall),
 	}
-	d.stepper = stepper.New(ranks, d.fleet, stepper.WithNotes(d.noteStep))
+	d.stepper = stepper.New(ranks, d.fleet, stepper.WithNotes(d.noteStep), stepper.WithSlow(d.noteSlow))
 	d.loop = banyanplank.NewLoop(model, executor{d}, banyanplank.WithTick(surveyor.TickInterval), banyanplank.WithAfter(d.publish))
 	d.follower = follower.New(discovery,
 		func(msg banyanplank.Msg) { d.loop.Send(context.Background(), msg) },
@@ -174,6 +179,30 @@
 	return snapshot.Router.Table(), slices.Clone(snapshot.Backends), true
 }
 
+// slowWord is which endpoints hold up their group of ranks, and since when that
+// is known.
+type slowWord struct {
+	at        time.Time
+	endpoints []banyanplank.BackendID
+}
+
+// noteSlow takes in which endpoints hold up their group of ranks.
+func (d *Daemon) noteSlow(service banyanplank.ServiceName, endpoints []banyanplank.BackendID) {
+	old := d.slow.Swap(&slowWord{at: time.Now(), endpoints: endpoints})
+	d.balancer.Slow(time.Now(), endpoints)
+	if old == nil || !slices.Equal(old.endpoints, endpoints) {
+		d.logger.Info().Str("service", string(service)).Strs("endpoints", names(endpoints)).Msg("slow ranks")
+	}
+}
+
+// slowNow returns the endpoints that hold up their group, while that is news.
+func (d *Daemon) slowNow() (endpoints []banyanplank.BackendID) {
+	if word := d.slow.Load(); word != nil && time.Since(word.at) < slowNews {
+		return word.endpoints
+	}
+	return nil
+}
+
 // noteStep logs a decision on expert maps.
 func (d *Daemon) noteStep(n stepper.Note) {
 	line := d.logger.Info()
@@ -316,6 +345,7 @@
 		Blind:       snapshot.Blind,
 		Watches:     snapshot.Watches,
 		InFlight:    d.balancer.InFlight(),
+		Slow:        d.slowNow(),
 		Revisions:   snapshot.Revisions,
 	}, peers
 }
@@ -323,6 +353,7 @@
 // hear takes in the heartbeat of a peer.
 func (d *Daemon) hear(beat *beater.Beat) {
 	d.balancer.Hear(time.Now(), beat.From, beat.InFlight)
+	d.balancer.Slow(time.Now(), beat.Slow)
 	for topic, revision := range beat.Revisions {
 		// Peers tell of themselves in their heartbeats.
 		if topic != banyanplank.TopicMembers {
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -30,8 +30,6 @@
 	maxAnswer = 4 << 20
 	// writeGrace is how long after its time limit a call may still be written.
 	writeGrace = 250 * time.Millisecond
-	// retryDeclined is when a caller may return whose endpoint was full.
-	retryDeclined = 60 * time.Millisecond
 )
 
 // flow is one call on its way.
@@ -211,7 +209,7 @@
 		if f.ctx.Err() == nil && f.unreached < maxUnreached && f.hasTime() {
 			return false
 		}
-		f.giveUp(&banyanplank.Refusal{Outcome: banyanplank.NotRun, Reason: banyanplank.ReasonUnreachable, RetryAfter: retryDeclined, Detail: err.Error()})
+		f.giveUp(&banyanplank.Refusal{Outcome: banyanplank.NotRun, Reason: banyanplank.ReasonUnreachable, RetryAfter: f.gateway.balancer.RetryAfter(f.service), Detail: err.Error()})
 		return true
 	}
 	f.sends++
@@ -256,7 +254,7 @@
 	if f.ctx.Err() == nil && f.sends < f.route.Attempts && f.hasTime() && f.gateway.balancer.Repeat(f.service) {
 		return false
 	}
-	f.giveUp(&banyanplank.Refusal{Outcome: banyanplank.NotRun, Reason: banyanplank.ReasonOverload, RetryAfter: retryDeclined, Detail: f.result.detail})
+	f.giveUp(&banyanplank.Refusal{Outcome: banyanplank.NotRun, Reason: banyanplank.ReasonOverload, RetryAfter: f.gateway.balancer.RetryAfter(f.service), Detail: f.result.detail})
 	return true
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -35,6 +35,10 @@
 	at     time.Time
 }
 
+// errSlow means that the endpoint holds up its group of ranks as long as it has
+// streams.
+var errSlow = errors.New("the endpoint holds up its group")
+
 // pump passes on the events of an answer. It reports false when the answer
 // broke off and another endpoint may go on with it.
 func (f *flow) pump(exchange *requester.Exchange) (done bool) {
@@ -73,6 +77,9 @@
 		if len(buffer) == cap(buffer) {
 			buffer = append(buffer, make([]byte, cap(buffer))...)[:len(buffer)]
 		}
+		if f.sends < f.route.Attempts && f.route.Resumable && f.gateway.balancer.IsSlow(f.lease.Backend.ID) {
+			return errSlow
+		}
 		if err := exchange.Await(f.ctx, streamPatience, f.isStuck); err != nil {
 			return err
 		}
