--- a/coordination/stepper/stepper_test.go
+++ b/coordination/stepper/stepper_test.go
@@ -204,3 +204,23 @@
 }
 
 var _ banyanplank.Ranks = (*world)(nil)
+
+// TestPassesIn has a switch come into use soon also when it isn't known how long
+// a pass takes.
+func TestPassesIn(t *testing.T) {
+	tests := map[string]struct {
+		lead, pass time.Duration
+		want       uint64
+	}{
+		"usual":        {120 * time.Millisecond, 50 * time.Millisecond, 3},
+		"long passes":  {120 * time.Millisecond, time.Second, leastAhead},
+		"not measured": {120 * time.Millisecond, 0, 3},
+		"measured odd": {120 * time.Millisecond, time.Microsecond, 9},
+		"lossy":        {time.Second, 50 * time.Millisecond, 21},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(passesIn(test.lead, test.pass), test.want)
+		})
+	}
+}
--- a/coordination/stepper/switch.go
+++ b/coordination/stepper/switch.go
@@ -39,6 +39,10 @@
 	// retryPause is the time between two orders to a rank that has not done the
 	// first.
 	retryPause = 100 * time.Millisecond
+	// usualPass is taken for the time of a pass that has not been measured, and
+	// leastPass is the least that is believed.
+	usualPass = 50 * time.Millisecond
+	leastPass = 15 * time.Millisecond
 	// leastAhead is the least number of passes by which the held pass is ahead.
 	leastAhead = 2
 	// holdTries bounds the holds that get no answer. One that is carried out
@@ -240,7 +244,7 @@
 		if g.lossy {
 			lead = lossyLead
 		}
-		step = g.step() + max(leastAhead, uint64(lead/max(time.Millisecond, g.pass))+1)
+		step = g.step() + passesIn(lead, g.pass)
 		err = g.ranks.Order(ctx, g.backends[0], banyanplank.RankOrder{Kind: banyanplank.RankHold, Epoch: g.epoch, Step: step})
 		if err == nil {
 			return step, nil
@@ -250,6 +254,14 @@
 	return 0, err
 }
 
+// passesIn returns how many passes ahead a pass is that begins after lead.
+func passesIn(lead, pass time.Duration) (passes uint64) {
+	if pass <= 0 {
+		pass = usualPass
+	}
+	return max(leastAhead, uint64(lead/max(leastPass, pass))+1)
+}
+
 // arm arms all ranks for a pass that is held.
 func (g *group) arm(ctx context.Context, id banyanplank.MapID, step uint64) (err error) {
 	order := banyanplank.RankOrder{Kind: banyanplank.RankArm, Epoch: g.epoch, Map: id, Step: step}
