Keep control and calls in their availability zone

Change: counts are read from as many ranks as give 24,000 numbers, own zone first; an endpoint elsewhere must have 1.5 calls less; heartbeats to other zones carry only what goes there.

--- a/coordination/balancer/balancer.go
+++ b/coordination/balancer/balancer.go
@@ -11,7 +11,7 @@
 
 // peerAge is how old the word of a peer on its calls in flight may be. It allows
 // for a lost heartbeat of a peer in another zone.
-const peerAge = 1600 * time.Millisecond
+const peerAge = 1800 * time.Millisecond
 
 // Option configures a [Balancer].
 type Option func(*Balancer)
--- a/coordination/balancer/pool.go
+++ b/coordination/balancer/pool.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -121,7 +122,8 @@
 		}
 	}
 	p.order, p.near = p.order[:0], 0
-	for _, s := range p.seats {
+	for _, id := range slices.Sorted(maps.Keys(p.seats)) {
+		s := p.seats[id]
 		p.order = append(p.order, s)
 		if s.backend.Zone == p.owner.zone && !s.out {
 			p.near++
--- a/coordination/balancer/seat.go
+++ b/coordination/balancer/seat.go
@@ -10,7 +10,7 @@
 // The weights of a choice, in calls in flight.
 const (
 	// farCost keeps a call in its zone among near equals.
-	farCost = 0.4
+	farCost = 1.5
 	// failureCost is for an endpoint all of whose calls fail.
 	failureCost = 8
 	// slowCost is for an endpoint that holds up its group of ranks.
--- a/coordination/beater/beater.go
+++ b/coordination/beater/beater.go
@@ -27,15 +27,19 @@
 type Beater struct {
 	address  netip.AddrPort
 	interval time.Duration
-	compose  func() (beat *Beat, peers []netip.AddrPort)
+	compose  Compose
 	hear     func(beat *Beat)
 	fail     func(err error)
 }
 
+// Compose returns the next heartbeat for the peers in the own zone and the one for
+// those in other zones, and the addresses of both.
+type Compose func() (near, far *Beat, peers, others []netip.AddrPort)
+
 // New returns a beater on the datagram address. Compose is asked for each
 // heartbeat and its receivers, hear gets those of the peers, and fail what
 // could not be sent or read.
-func New(address netip.AddrPort, compose func() (beat *Beat, peers []netip.AddrPort), hear func(beat *Beat), fail func(err error), options ...Option) *Beater {
+func New(address netip.AddrPort, compose Compose, hear func(beat *Beat), fail func(err error), options ...Option) *Beater {
 	b := &Beater{address: address, interval: DefaultInterval, compose: compose, hear: hear, fail: fail}
 	for _, option := range options {
 		option(b)
@@ -64,16 +68,9 @@
 	ticker := time.NewTicker(b.interval)
 	defer ticker.Stop()
 	for {
-		beat, peers := b.compose()
-		text, err := encode(beat)
-		if err != nil {
-			b.fail(err)
-		}
-		for _, peer := range peers {
-			if _, err := socket.WriteToUDPAddrPort(text, peer); err != nil && ctx.Err() == nil {
-				b.fail(err)
-			}
-		}
+		near, far, peers, others := b.compose()
+		b.tell(ctx, socket, near, peers)
+		b.tell(ctx, socket, far, others)
 		select {
 		case <-ctx.Done():
 			return
@@ -82,6 +79,23 @@
 	}
 }
 
+// tell sends a heartbeat to some peers.
+func (b *Beater) tell(ctx context.Context, socket *net.UDPConn, beat *Beat, peers []netip.AddrPort) {
+	if len(peers) == 0 {
+		return
+	}
+	text, err := encode(beat)
+	if err != nil {
+		b.fail(err)
+		return
+	}
+	for _, peer := range peers {
+		if _, err := socket.WriteToUDPAddrPort(text, peer); err != nil && ctx.Err() == nil {
+			b.fail(err)
+		}
+	}
+}
+
 // receive reads heartbeats until the socket is closed.
 func (b *Beater) receive(ctx context.Context, socket *net.UDPConn) {
 	buffer := make([]byte, maxBeat)
--- a/coordination/stepper/stepper.go
+++ b/coordination/stepper/stepper.go
@@ -19,6 +19,10 @@
 	// leadBits is the width of the random part of a map id. Two entries that
 	// both believe to be the one that plans must not give one id to two maps.
 	leadBits = 16
+	// mostNumbers bounds the counts that are read in a round, and leastSample is
+	// the least number of ranks that are asked.
+	mostNumbers = 24_000
+	leastSample = 8
 )
 
 // Fleet returns the routes and endpoints as now known, and whether this entry is
@@ -53,6 +57,11 @@
 	return func(s *Stepper) { s.note = note }
 }
 
+// WithZone reads counts from the ranks of zone first. The default is none.
+func WithZone(zone banyanplank.Zone) Option {
+	return func(s *Stepper) { s.zone = zone }
+}
+
 // WithSlow calls slow in each round with the endpoints that hold up their group.
 // The default does nothing.
 func WithSlow(slow func(service banyanplank.ServiceName, endpoints []banyanplank.BackendID)) Option {
@@ -64,6 +73,7 @@
 	ranks    banyanplank.Ranks
 	fleet    Fleet
 	interval time.Duration
+	zone     banyanplank.Zone
 	note     func(n Note)
 	slow     func(service banyanplank.ServiceName, endpoints []banyanplank.BackendID)
 	terms    map[banyanplank.ServiceName]*term
@@ -208,9 +218,10 @@
 			return err
 		}
 	}
-	counts := make([]banyanplank.RankCounts, len(g.backends))
+	asked := s.sample(t, g)
+	counts := make([]banyanplank.RankCounts, len(asked))
 	work := pool.New().WithErrors()
-	for i, b := range g.backends {
+	for i, b := range asked {
 		work.Go(func() (err error) {
 			counts[i], err = s.ranks.Counts(ctx, b)
 			return err
@@ -220,12 +231,32 @@
 		return err
 	}
 	for i, c := range counts {
-		t.demand.add(g.backends[i].ID, c)
+		t.demand.add(asked[i].ID, c)
 	}
 	t.demand.turn(time.Now())
 	return nil
 }
 
+// sample returns the ranks whose counts are read: all of a small group. Calls are
+// spread evenly, so that some ranks of a large one tell the demand of all, those
+// of the own zone first.
+func (s *Stepper) sample(t *term, g *group) (asked []*banyanplank.Backend) {
+	asked = slices.Clone(g.backends)
+	slices.SortStableFunc(asked, func(a, b *banyanplank.Backend) int {
+		return s.distance(a) - s.distance(b)
+	})
+	numbers := max(1, len(t.demand.weight)*t.demand.experts)
+	return asked[:min(len(asked), max(leastSample, mostNumbers/numbers))]
+}
+
+// distance returns 0 for an endpoint of the own zone and 1 for others.
+func (s *Stepper) distance(b *banyanplank.Backend) (far int) {
+	if b.Zone == s.zone {
+		return 0
+	}
+	return 1
+}
+
 // learnPlaces reads the map in use from all ranks.
 func (s *Stepper) learnPlaces(ctx context.Context, t *term, g *group) (err error) {
 	t.places, err = g.places(ctx)
--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -22,7 +22,7 @@
 	aliveAge = 1200 * time.Millisecond
 	// farAge is the same for entries of other availability zones, which send
 	// fewer heartbeats across.
-	farAge = 2 * time.Second
+	farAge = 2200 * time.Millisecond
 	// returnGrace is how long an endpoint that the platform no longer lists
 	// after an outage of its store may take to register again.
 	returnGrace = 2 * time.Second
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -50,7 +50,7 @@
 
 // farEvery is how many heartbeats go to the own zone for each that crosses to
 // another one. Bytes between zones cost the operators.
-const farEvery = 5
+const farEvery = 6
 
 // The stop of an entry.
 const (
@@ -108,7 +108,7 @@
 		counters:  newCounters(),
 		stall:     time.Duration(limits.Stall),
 	}
-	d.stepper = stepper.New(ranks, d.fleet, stepper.WithNotes(d.noteStep), stepper.WithSlow(d.noteSlow))
+	d.stepper = stepper.New(ranks, d.fleet, stepper.WithNotes(d.noteStep), stepper.WithSlow(d.noteSlow), stepper.WithZone(settings.Zone))
 	d.loop = banyanplank.NewLoop(model, executor{d}, banyanplank.WithTick(surveyor.TickInterval), banyanplank.WithAfter(d.publish))
 	d.follower = follower.New(discovery,
 		func(msg banyanplank.Msg) { d.loop.Send(context.Background(), msg) },
@@ -325,15 +325,36 @@
 	}
 }
 
-// compose returns the next heartbeat and who gets it.
-func (d *Daemon) compose() (beat *beater.Beat, peers []netip.AddrPort) {
+// compose returns the next heartbeat for the own zone and for the other ones, and
+// who gets them.
+func (d *Daemon) compose() (near, far *beater.Beat, peers, others []netip.AddrPort) {
 	snapshot := d.view.Load()
 	sequence := d.beats.Add(1)
+	near = d.beat(snapshot, sequence)
 	for _, m := range snapshot.Peers {
-		if m.Zone == d.member.Zone || sequence%farEvery == 0 {
+		switch {
+		case m.Zone == d.member.Zone:
 			peers = append(peers, m.Peer)
+		case sequence%farEvery == 0:
+			others = append(others, m.Peer)
 		}
 	}
+	if len(others) == 0 {
+		return near, near, peers, nil
+	}
+	// What this entry has in flight in its own zone matters only there.
+	crossing := *near
+	crossing.InFlight = make(map[banyanplank.BackendID]int)
+	for _, b := range snapshot.Backends {
+		if n := near.InFlight[b.ID]; n > 0 && b.Zone != d.member.Zone {
+			crossing.InFlight[b.ID] = n
+		}
+	}
+	return near, &crossing, peers, others
+}
+
+// beat returns the heartbeat for the entries of the own zone.
+func (d *Daemon) beat(snapshot *surveyor.Snapshot, sequence uint64) (beat *beater.Beat) {
 	return &beater.Beat{
 		From:        d.member.ID,
 		Incarnation: d.member.Incarnation,
@@ -347,7 +368,7 @@
 		InFlight:    d.balancer.InFlight(),
 		Slow:        d.slowNow(),
 		Revisions:   snapshot.Revisions,
-	}, peers
+	}
 }
 
 // hear takes in the heartbeat of a peer.
