Learn from peers while the platform turns an entry away

Change: entries serve what they know of a topic at their peer address; one that can't reach the store and hears of later changes asks the peer that knows most.

--- a/coordination/stepper/world_test.go
+++ b/coordination/stepper/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -309,5 +310,14 @@
 	}
 }
 
+// moments returns how many moments or seeds a test tries. All are tried without the
+// race detector, some with it: it makes a group of ranks fifty times slower.
+func moments(all int) (tried int) {
+	if testing.Short() {
+		return max(1, all/20)
+	}
+	return all
+}
+
 // always is a leader.
 func always() bool { return true }
--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -208,7 +208,7 @@
 	if msg.Resumed {
 		t.resumed = now
 	}
-	if t.lost {
+	if t.lost && !msg.Relayed {
 		t.lost = false
 		m.note(NoteCmd{Event: "topic regained", Topic: msg.Topic, Revision: msg.Revision})
 	}
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -73,6 +73,7 @@
 	loop      *banyanplank.Loop
 	stepper   *stepper.Stepper
 	follower  *follower.Follower
+	relay     *relay
 	beats     atomic.Uint64
 	slow      atomic.Pointer[slowWord]
 	directory http.Handler
@@ -110,9 +111,11 @@
 	}
 	d.stepper = stepper.New(ranks, d.fleet, stepper.WithNotes(d.noteStep), stepper.WithSlow(d.noteSlow), stepper.WithZone(settings.Zone))
 	d.loop = banyanplank.NewLoop(model, executor{d}, banyanplank.WithTick(surveyor.TickInterval), banyanplank.WithAfter(d.publish))
+	d.relay = newRelay(d.view.Load)
 	d.follower = follower.New(discovery,
 		func(msg banyanplank.Msg) { d.loop.Send(context.Background(), msg) },
-		follower.WithWatcher(func() bool { return d.view.Load().Watches }))
+		follower.WithWatcher(func() bool { return d.view.Load().Watches }),
+		follower.WithPeers(d.relay))
 	d.directory, d.ready = http.NotFoundHandler(), http.NotFoundHandler()
 	return d
 }
@@ -279,6 +282,7 @@
 		{d.settings.Listen.Caller, d.gateway},
 		{d.settings.Listen.Directory, d.directory},
 		{d.settings.Listen.Ready, d.ready},
+		{d.settings.Listen.Peer, d.relay.handler()},
 		{d.settings.Listen.Metrics, http.HandlerFunc(d.writeMetrics)},
 	}
 	for _, l := range listening {
@@ -375,6 +379,7 @@
 func (d *Daemon) hear(beat *beater.Beat) {
 	d.balancer.Hear(time.Now(), beat.From, beat.InFlight)
 	d.balancer.Slow(time.Now(), beat.Slow)
+	d.relay.hear(beat.Peer, beat.Revisions)
 	for topic, revision := range beat.Revisions {
 		// Peers tell of themselves in their heartbeats.
 		if topic != banyanplank.TopicMembers {
--- /dev/null
+++ b/gateway/relay_test.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/router"
+	"github.com/banyanplank/banyanplank/coordination/surveyor"
+)
+
+// TestRelay has an entry that the platform turns away learn from the peer that
+// knows most.
+func TestRelay(t *testing.T) {
+	is := is.New(t)
+	table := &banyanplank.RoutingTable{
+		Version:  7,
+		Routes:   []banyanplank.RouteSpec{{Name: "r", Host: "h", Prefix: "/", Kind: banyanplank.RouteStream, Timeout: time.Second, Splits: []banyanplank.Split{{Service: "s", Weight: 2}}}},
+		Pools:    []banyanplank.PoolSpec{{Name: "s", Engine: &banyanplank.EngineSpec{Slots: 3}}},
+		Accounts: []banyanplank.AccountSpec{{Name: "himal", Key: "k", Priority: -1}},
+	}
+	backend := banyanplank.Backend{ID: "i-1", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Leaving: true, Born: time.UnixMilli(5).UTC()}
+	snapshot := &surveyor.Snapshot{
+		Router: router.New(table), Backends: []banyanplank.Backend{backend}, Out: map[banyanplank.Zone]bool{"a": true},
+		Revisions: map[banyanplank.Topic]banyanplank.Version{banyanplank.TopicRouting: 20, banyanplank.TopicBackends: 21, banyanplank.TopicZonesOut: 22},
+	}
+	server := httptest.NewServer(newRelay(func() *surveyor.Snapshot { return snapshot }).handler())
+	defer server.Close()
+	peer := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	asking := newRelay(func() *surveyor.Snapshot { return &surveyor.Snapshot{} })
+
+	_, _, err := asking.Ask(t.Context(), banyanplank.TopicRouting)
+	is.True(err != nil) // nobody is known
+	asking.hear(netip.MustParseAddrPort("127.0.0.1:1"), map[banyanplank.Topic]banyanplank.Version{banyanplank.TopicRouting: 3})
+	asking.hear(peer, snapshot.Revisions)
+	asking.hear(netip.MustParseAddrPort("127.0.0.1:1"), map[banyanplank.Topic]banyanplank.Version{banyanplank.TopicRouting: 3})
+
+	entries, revision, err := asking.Ask(t.Context(), banyanplank.TopicRouting)
+	is.NoErr(err)
+	is.Equal(revision, banyanplank.Version(20))
+	is.Equal(entries, []banyanplank.Listed{{Key: "peer", Value: table}})
+	entries, _, err = asking.Ask(t.Context(), banyanplank.TopicBackends)
+	is.NoErr(err)
+	is.Equal(entries, []banyanplank.Listed{{Key: "i-1", Value: backend}})
+	entries, _, err = asking.Ask(t.Context(), banyanplank.TopicZonesOut)
+	is.NoErr(err)
+	is.Equal(entries, []banyanplank.Listed{{Key: "a", Value: banyanplank.Zone("a")}})
+}
+
+// TestRelayNothing has an entry without routes tell nothing.
+func TestRelayNothing(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(newRelay(func() *surveyor.Snapshot { return &surveyor.Snapshot{} }).handler())
+	defer server.Close()
+	asking := newRelay(nil)
+	asking.hear(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), map[banyanplank.Topic]banyanplank.Version{banyanplank.TopicRouting: 3})
+	_, _, err := asking.Ask(t.Context(), banyanplank.TopicRouting)
+	is.True(err != nil)
+}
--- a/state/follower/follower.go
+++ b/state/follower/follower.go
@@ -49,6 +49,8 @@
 	Whole bool
 	// Resumed tells that the platform had been out of reach before.
 	Resumed bool
+	// Relayed tells that a peer told it, while the platform can't be reached.
+	Relayed bool
 	// Sent is when the call was made that brought this.
 	Sent time.Time
 }
@@ -59,6 +61,18 @@
 	Err   error
 }
 
+// Peers are the other daemons that follow the same topics.
+type Peers interface {
+	// Ask returns all entries of a topic as a peer knows them, and up to where.
+	Ask(ctx context.Context, topic banyanplank.Topic) (entries []banyanplank.Listed, revision banyanplank.Version, err error)
+}
+
+// WithPeers asks peers for what they are ahead while the platform can't be reached.
+// The default asks nobody.
+func WithPeers(peers Peers) Option {
+	return func(f *Follower) { f.peers = peers }
+}
+
 // Option configures a [Follower].
 type Option func(*Follower)
 
@@ -87,6 +101,7 @@
 	wait      time.Duration
 	pause     time.Duration
 	watches   func() bool
+	peers     Peers
 	mutex     sync.Mutex
 	hints     map[banyanplank.Topic]*hint
 }
@@ -245,6 +260,7 @@
 		c.send(LostMsg{Topic: c.topic, Err: err})
 	}
 	c.lost = true
+	c.askPeers(ctx)
 	longest := c.pause
 	if c.listed && !c.watches() {
 		longest = idlePause
@@ -252,6 +268,22 @@
 	pause(ctx, longest/2+rand.N(longest/2))
 }
 
+// askPeers takes over what peers know beyond this daemon.
+func (c *cursor) askPeers(ctx context.Context) {
+	if c.peers == nil || c.hinted(c.hint) <= c.revision {
+		return
+	}
+	asked := time.Now()
+	entries, revision, err := c.peers.Ask(ctx, c.topic)
+	switch {
+	case err != nil:
+		c.send(LostMsg{Topic: c.topic, Err: err})
+	case revision > c.revision:
+		c.revision, c.listed = revision, true
+		c.send(TopicMsg{Topic: c.topic, Entries: entries, Revision: revision, Whole: true, Relayed: true, Sent: asked})
+	}
+}
+
 // pause waits.
 func pause(ctx context.Context, d time.Duration) {
 	select {
