--- a/coordination/balancer/balancer.go
+++ b/coordination/balancer/balancer.go
@@ -85,8 +85,6 @@
 	Priority int
 	// Avoid lists the endpoints that this call has already tried.
 	Avoid []banyanplank.BackendID
-	// Once tells that the call must not be repeated.
-	Once bool
 }
 
 // Fleet is what a balancer has to know of the rest of the system.
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -107,7 +107,6 @@
 		dialect:   dialect,
 		logger:    logger,
 		counters:  newCounters(),
-		stall:     time.Duration(limits.Stall),
 	}
 	d.stepper = stepper.New(ranks, d.fleet, stepper.WithNotes(d.noteStep), stepper.WithSlow(d.noteSlow), stepper.WithZone(settings.Zone))
 	d.loop = banyanplank.NewLoop(model, executor{d}, banyanplank.WithTick(surveyor.TickInterval), banyanplank.WithAfter(d.publish))
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -108,7 +108,6 @@
 		Goal:     f.goal(),
 		Priority: f.priority,
 		Avoid:    f.tried,
-		Once:     f.route.Kind == banyanplank.RouteOnce,
 	})
 	f.result.waited += time.Since(began)
 	if err == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,7 +37,6 @@
 	counters  *counters
 	draining  atomic.Bool
 	running   atomic.Int64
-	stall     time.Duration
 }
 
 // ServeHTTP implements http.Handler.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -239,7 +239,6 @@
 span = "10s"
 grace = "8s"
 keep = "5s"
-stall = "1500ms"
 `
 	tests := map[string]struct {
 		old, new string
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -53,8 +53,6 @@
 	Grace banyanplank.Duration `toml:"grace"`
 	// Keep is the longest time for which callers keep the directory's answer.
 	Keep banyanplank.Duration `toml:"keep"`
-	// Stall is how long a group of ranks stands still when one is lost.
-	Stall banyanplank.Duration `toml:"stall"`
 }
 
 // Load reads and checks the settings file at path. The error is a
