Give lapsed endpoints time only when nobody could see the platform

An entry kept an endpoint that was taken off the list for two seconds whenever its own last call had failed, as if the whole platform had been away. Change: the two seconds are given only after a time in which no entry that watches could see the platform. TestBackends has the case (it failed before); its tests of the grace now play an outage instead of a mark on a message, which is as strict.

--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -135,7 +135,6 @@
 	changed banyanplank.Version
 	listed  bool
 	lost    bool
-	resumed time.Time
 }
 
 // NewModel returns the control state of the entry self, which knows nothing.
@@ -205,14 +204,11 @@
 		t.changed = msg.Revision
 	}
 	t.revision, t.listed = msg.Revision, true
-	if msg.Resumed {
-		t.resumed = now
-	}
 	if t.lost && !msg.Relayed {
 		t.lost = false
 		m.note(NoteCmd{Event: "topic regained", Topic: msg.Topic, Revision: msg.Revision})
 	}
-	graced := now.Sub(later(t.resumed, m.dark)) < returnGrace
+	graced := now.Sub(m.dark) < returnGrace
 	switch msg.Topic {
 	case banyanplank.TopicRouting:
 		m.route(now, msg)
@@ -241,8 +237,9 @@
 	}
 }
 
-// listBackends takes in endpoints. One that is no longer listed right after an
-// outage gets time to register again.
+// listBackends takes in endpoints. One that is no longer listed right after no entry
+// could see the platform gets time to register again. While any could, the others
+// have kept their entries, and one that is gone has left.
 func (m *Model) listBackends(now time.Time, msg follower.TopicMsg, graced bool) {
 	present := make(map[banyanplank.BackendID]bool, len(msg.Entries))
 	for _, e := range msg.Entries {
@@ -408,7 +405,7 @@
 		}
 	}
 	seen := m.snapshot.Watches && !m.snapshot.Blind
-	if m.snapshot.Ready && !seen && !m.isSeenByPeers() {
+	if m.topic(banyanplank.TopicBackends).listed && !seen && !m.isSeenByPeers() {
 		m.dark = now
 	}
 	m.tend(now)
--- a/coordination/surveyor/surveyor_test.go
+++ b/coordination/surveyor/surveyor_test.go
@@ -97,42 +97,51 @@
 }
 
 func TestBackends(t *testing.T) {
-	resumed := topicMsg(banyanplank.TopicBackends, 11, true, backend("x", false))
+	removed := topicMsg(banyanplank.TopicBackends, 11, false, banyanplank.Listed{Key: "y"})
+	missing := topicMsg(banyanplank.TopicBackends, 11, true, backend("x", false))
+	resumed := removed
 	resumed.Resumed = true
-	removedAfter := topicMsg(banyanplank.TopicBackends, 11, false, banyanplank.Listed{Key: "y"})
-	removedAfter.Resumed = true
 	tests := map[string]struct {
-		msg   follower.TopicMsg
-		now   []string
-		later []string
+		outage bool
+		msg    follower.TopicMsg
+		now    []string
+		later  []string
 	}{
-		"removed":                 {topicMsg(banyanplank.TopicBackends, 11, false, banyanplank.Listed{Key: "y"}), []string{"x"}, []string{"x"}},
-		"missing in a list":       {topicMsg(banyanplank.TopicBackends, 11, true, backend("x", false)), []string{"x"}, []string{"x"}},
-		"missing after an outage": {resumed, []string{"x", "y"}, []string{"x"}},
-		"lapsed in an outage":     {removedAfter, []string{"x", "y"}, []string{"x"}},
-		"added":                   {topicMsg(banyanplank.TopicBackends, 11, false, backend("z", false)), []string{"x", "y", "z"}, []string{"x", "y", "z"}},
-		"of an older revision":    {topicMsg(banyanplank.TopicBackends, 9, true), []string{"x", "y"}, []string{"x", "y"}},
+		"removed":                  {false, removed, []string{"x"}, []string{"x"}},
+		"missing in a list":        {false, missing, []string{"x"}, []string{"x"}},
+		"after a call that failed": {false, resumed, []string{"x"}, []string{"x"}},
+		"missing after an outage":  {true, missing, []string{"x", "y"}, []string{"x"}},
+		"lapsed in an outage":      {true, removed, []string{"x", "y"}, []string{"x"}},
+		"added":                    {false, topicMsg(banyanplank.TopicBackends, 11, false, backend("z", false)), []string{"x", "y", "z"}, []string{"x", "y", "z"}},
+		"of an older revision":     {false, topicMsg(banyanplank.TopicBackends, 9, true), []string{"x", "y"}, []string{"x", "y"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			p := newPlayer("e1")
 			p.play(topicMsg(banyanplank.TopicBackends, 10, true, backend("x", false), backend("y", false)))
+			if test.outage {
+				p.outage()
+			}
 			is.Equal(ids(p.play(test.msg)), test.now)
 			is.Equal(ids(p.after(returnGrace+TickInterval)), test.later)
 		})
 	}
 }
 
+// outage lets the platform be away for a while.
+func (p *player) outage() {
+	p.play(follower.LostMsg{Topic: banyanplank.TopicBackends})
+	p.after(3 * time.Second)
+}
+
 // TestReturnAfterOutage has an endpoint that registers again in time be kept.
 func TestReturnAfterOutage(t *testing.T) {
 	is := is.New(t)
 	p := newPlayer("e1")
 	p.play(topicMsg(banyanplank.TopicBackends, 10, true, backend("x", false)))
-	p.play(follower.LostMsg{Topic: banyanplank.TopicBackends})
-	msg := topicMsg(banyanplank.TopicBackends, 11, true)
-	msg.Resumed = true
-	p.play(msg)
+	p.outage()
+	p.play(topicMsg(banyanplank.TopicBackends, 11, true))
 	p.after(time.Second)
 	p.play(topicMsg(banyanplank.TopicBackends, 12, false, backend("x", false)))
 	is.Equal(ids(p.after(5*time.Second)), []string{"x"})
@@ -143,9 +152,8 @@
 	is := is.New(t)
 	p := newPlayer("e1")
 	p.play(topicMsg(banyanplank.TopicBackends, 10, true, backend("x", true)))
-	msg := topicMsg(banyanplank.TopicBackends, 11, true)
-	msg.Resumed = true
-	is.Equal(ids(p.play(msg)), nil)
+	p.outage()
+	is.Equal(ids(p.play(topicMsg(banyanplank.TopicBackends, 11, true))), nil)
 }
 
 func TestZonesOut(t *testing.T) {
