Send no probe before the request

Cause: a call started its probes before it sent the request. Where the entry was held up between the two for the probe's 0.5 s, as 128 callers under the race detector do, the agent got a probe first and refused the call ("the first message is no Open"; the sender then saw EOF).

Change: probes wait for the request. The call still ends when the path is silent.

--- a/transport/dialer/call.go
+++ b/transport/dialer/call.go
@@ -40,6 +40,8 @@
 	group     conc.WaitGroup
 	closing   sync.Once
 	aborting  sync.Once
+	// requested tells that the request is on its way.
+	requested atomic.Bool
 	// closed tells that the agent has closed the stream.
 	closed atomic.Bool
 	// received is closed when nothing more comes from the agent.
@@ -144,10 +146,19 @@
 	}
 }
 
-// probe tells the agent that this end lives. An agent that has sent everything
+// request sends the request.
+func (c *call) request(open *carrier.Open) (err error) {
+	defer c.requested.Store(true)
+	return c.stream.Send(&carrier.Up{Body: &carrier.Up_Open{Open: open}})
+}
+
+// probe tells the agent that this end lives, once it has the request. An agent that has sent everything
 // takes no more probes; whether the connection is broken is for receive to
 // tell, so errors count for nothing here.
 func (c *call) probe() (err error) {
+	if !c.requested.Load() {
+		return nil
+	}
 	if acked := c.acked.Load(); acked > 0 {
 		_ = c.sendAck(acked)
 	}
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -161,8 +161,7 @@
 		c.Leave()
 		return nil, &dialError{cause: err}
 	}
-	open := carrier.NewOpen(time.Now(), request, member.Incarnation)
-	if err := stream.Send(&carrier.Up{Body: &carrier.Up_Open{Open: open}}); err != nil {
+	if err := c.request(carrier.NewOpen(time.Now(), request, member.Incarnation)); err != nil {
 		c.Leave()
 		return nil, err
 	}
