Keep the sum of the estimates of members in reach

Cause: a daemon's estimate weighed its own four sampled neighbors 0.35, so one whose four were all inside its half of a cut came to rest at 0.675 against the limit of 0.70, and was above it after 15 s. After 45 s others counted 124 of 200 members as left, because some of those out of reach are found late, with an estimate that was near enough.

Change: the estimate is an average that keeps its sum (own value and those heard, plus what the own share moved), drawn back to the own share by 0.03 a second, by 0.35 while nothing is heard. In a large fleet the count also needs an estimate over 0.6.

--- a/coordination/spreader/reach.go
+++ b/coordination/spreader/reach.go
@@ -28,8 +28,10 @@
 	// must not be further from the count than agreement.
 	countedFleet = 128
 	agreement    = 0.08
-	// ownWeight is the weight of a daemon's own neighbors in its estimate.
-	ownWeight = 0.35
+	// ownWeight is the weight of a daemon's own neighbors in its estimate, and
+	// quietWeight the one while it hears no estimates of others.
+	ownWeight   = 0.03
+	quietWeight = 0.35
 )
 
 // reach estimates the share of the members that can be talked to from here. The
@@ -46,10 +48,13 @@
 	members int
 	// settled is since when no member is in doubt: each is in reach or gone.
 	settled time.Time
-	value   float32
-	most    bool
-	sum     float32
-	count   int
+	// own is the answered share of the sample at the last measure.
+	own      float32
+	measured bool
+	value    float32
+	most     bool
+	sum      float32
+	count    int
 }
 
 // hear takes in a peer's estimate if it is a share.
@@ -71,11 +76,16 @@
 		}
 	}
 	own /= float32(max(1, len(r.sample)))
-	around := r.value
+	around, weight := r.value, float32(quietWeight)
 	if r.count > 0 {
-		around = r.sum / float32(r.count)
+		around, weight = (r.value+r.sum)/float32(1+r.count), ownWeight
 	}
-	r.value = ownWeight*own + (1-ownWeight)*around
+	moved := own - r.own
+	if !r.measured {
+		moved = 0
+	}
+	r.value = min(1, max(0, weight*own+(1-weight)*(around+moved)))
+	r.own, r.measured = own, true
 	r.most = r.value > reachHigh || r.most && r.value > reachLow
 	r.sum, r.count = 0, 0
 }
@@ -91,7 +101,8 @@
 		return 2*m.table.up > m.reach.members
 	}
 	left := float64(m.table.up) / float64(max(1, m.reach.members))
-	agrees := m.reach.members <= countedFleet || math.Abs(left-float64(m.reach.value)) <= agreement
+	value := float64(m.reach.value)
+	agrees := m.reach.members <= countedFleet || value > countShare && math.Abs(left-value) <= agreement
 	return m.isSettled() && agrees && left > countShare
 }
 
