Leave endpoints that have lost their address

Cause: after a loss of power the model servers are back at their addresses under new ids, and the platform lists the old ids for some seconds more. Entries chose both. The planner of maps took both for ranks.

Change: of two endpoints at an address the one that started later stands. A 421 that blames nobody counts like a connection that failed: no attempt, no repeat, the next endpoint at once, and three seconds without calls for the id.

What is left there are refusals "all endpoints are busy" while the endpoints are cold.

--- a/coordination/balancer/lease.go
+++ b/coordination/balancer/lease.go
@@ -6,6 +6,10 @@
 	"github.com/banyanplank/banyanplank"
 )
 
+// replacedPause is for how long an endpoint gets no calls whose address another one
+// has. The platform takes entries out after three heartbeats of a second.
+const replacedPause = 3 * time.Second
+
 // Kind tells how a call ended at its endpoint.
 type Kind uint8
 
@@ -21,6 +25,8 @@
 	Failed
 	// Abandoned calls were given up by their caller.
 	Abandoned
+	// Misdirected calls reached another endpoint at the address, which said so.
+	Misdirected
 )
 
 // Result is how a call ended at its endpoint.
@@ -94,6 +100,8 @@
 	switch {
 	case result.Kind == Served:
 		s.serve(now, now.Sub(l.began))
+	case result.Kind == Misdirected:
+		s.ejectedUntil = now.Add(replacedPause)
 	case result.Kind == Abandoned || result.Blameless:
 	default:
 		s.fail(now)
--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -276,9 +276,7 @@
 		s.Revisions[name] = t.changed
 		s.Blind = s.Blind || t.lost
 	}
-	for _, l := range m.listed {
-		s.Backends = append(s.Backends, l.backend)
-	}
+	s.Backends = m.current()
 	slices.SortFunc(s.Backends, func(a, b banyanplank.Backend) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	s.Ready = m.router != nil && m.topic(banyanplank.TopicBackends).listed && m.topic(banyanplank.TopicZonesOut).listed && !m.draining
 	if s.Ready {
--- a/coordination/surveyor/surveyor_test.go
+++ b/coordination/surveyor/surveyor_test.go
@@ -135,6 +135,26 @@
 	p.after(3 * time.Second)
 }
 
+// TestRebornBackends has endpoints start again at their addresses, as after a loss
+// of power, while the platform still lists them under their former ids.
+func TestRebornBackends(t *testing.T) {
+	is := is.New(t)
+	at := func(id, address string, born time.Duration) banyanplank.Listed {
+		return banyanplank.Listed{Key: id, Value: banyanplank.Backend{
+			ID: banyanplank.BackendID(id), Service: "chat", Address: netip.MustParseAddrPort(address), Born: begin.Add(born),
+		}}
+	}
+	p := newPlayer("e-1")
+	s := p.play(topicMsg(banyanplank.TopicBackends, 1, true, at("old-1", "10.0.0.1:80", 0), at("old-2", "10.0.0.2:80", 0)))
+	is.Equal(ids(s), []string{"old-1", "old-2"})
+	s = p.play(topicMsg(banyanplank.TopicBackends, 2, false, at("new-1", "10.0.0.1:80", time.Minute)))
+	is.Equal(ids(s), []string{"new-1", "old-2"})
+	s = p.play(topicMsg(banyanplank.TopicBackends, 3, false, at("old-1", "10.0.0.1:80", 0)))
+	is.Equal(ids(s), []string{"new-1", "old-2"}) // a late renewal changes nothing
+	s = p.play(topicMsg(banyanplank.TopicBackends, 4, false, banyanplank.Listed{Key: "new-1"}))
+	is.Equal(ids(s), []string{"old-1", "old-2"})
+}
+
 // TestReturnAfterOutage has an endpoint that registers again in time be kept.
 func TestReturnAfterOutage(t *testing.T) {
 	is := is.New(t)
--- a/coordination/surveyor/topics.go
+++ b/coordination/surveyor/topics.go
@@ -1,6 +1,7 @@
 package surveyor
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/banyanplank/banyanplank"
@@ -41,6 +42,23 @@
 	}
 }
 
+// current returns the endpoints, without those that have lost their address to one
+// that started later. The platform lists these until their leases run out.
+func (m *Model) current() (backends []banyanplank.Backend) {
+	latest := make(map[netip.AddrPort]time.Time, len(m.listed))
+	for _, l := range m.listed {
+		if l.backend.Born.After(latest[l.backend.Address]) {
+			latest[l.backend.Address] = l.backend.Born
+		}
+	}
+	for _, l := range m.listed {
+		if !l.backend.Born.Before(latest[l.backend.Address]) {
+			backends = append(backends, l.backend)
+		}
+	}
+	return backends
+}
+
 // unlist takes out one endpoint, or notes that it is missing.
 func (m *Model) unlist(now time.Time, id banyanplank.BackendID, revision banyanplank.Version, graced bool) {
 	l := m.listed[id]
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -17,7 +17,8 @@
 
 // The limits on the sends of one call.
 const (
-	// maxUnreached bounds the endpoints that could not be connected to.
+	// maxUnreached bounds the endpoints that a call did not reach: no connection,
+	// or another endpoint at the address.
 	maxUnreached = 4
 	// patienceGoals is after how many goals without an answer a repeatable call
 	// is tried elsewhere, and leastPatience the least such time.
@@ -133,6 +134,9 @@
 		return f.failed(err)
 	}
 	defer exchange.Close()
+	if exchange.Reply.Misdirected && exchange.Reply.Faulty == "" {
+		return f.misdirected(exchange)
+	}
 	f.sends++
 	if exchange.Reply.NotRun {
 		return f.declined(exchange)
@@ -203,18 +207,38 @@
 	sent := !errors.As(err, &failure) || failure.Sent
 	f.result.detail = err.Error()
 	if !sent {
-		f.unreached++
-		f.finish(balancer.Unreached)
-		if f.ctx.Err() == nil && f.unreached < maxUnreached && f.hasTime() {
-			return false
-		}
-		f.giveUp(&banyanplank.Refusal{Outcome: banyanplank.NotRun, Reason: banyanplank.ReasonUnreachable, RetryAfter: f.gateway.balancer.RetryAfter(f.service), Detail: err.Error()})
-		return true
+		return f.missed(balancer.Unreached)
 	}
 	f.sends++
 	return f.broken(err)
 }
 
+// misdirected decides on a call that reached another endpoint at the address.
+func (f *flow) misdirected(exchange *requester.Exchange) (done bool) {
+	drain(exchange)
+	f.result.detail = "misdirected: " + string(f.lease.Backend.ID) + " is gone"
+	return f.missed(balancer.Misdirected)
+}
+
+// missed decides on a call that its endpoint never got.
+func (f *flow) missed(kind balancer.Kind) (done bool) {
+	f.unreached++
+	f.finish(kind)
+	if f.ctx.Err() == nil && f.unreached < maxUnreached && f.hasTime() {
+		return false
+	}
+	f.giveUp(&banyanplank.Refusal{Outcome: banyanplank.NotRun, Reason: banyanplank.ReasonUnreachable, RetryAfter: f.gateway.balancer.RetryAfter(f.service), Detail: f.result.detail})
+	return true
+}
+
+// drain reads the rest of an answer that is not passed on, so that the connection
+// can be used again.
+func drain(exchange *requester.Exchange) {
+	if _, err := io.Copy(io.Discard, io.LimitReader(exchange.Response.Body, maxAnswer)); err == nil {
+		exchange.Whole()
+	}
+}
+
 // broken decides on a call that an endpoint may have run, and whose answer broke.
 func (f *flow) broken(err error) (done bool) {
 	f.ran = true
@@ -240,9 +264,7 @@
 
 // declined decides on a call that the endpoint has not run.
 func (f *flow) declined(exchange *requester.Exchange) (done bool) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(exchange.Response.Body, maxAnswer)); err == nil {
-		exchange.Whole()
-	}
+	drain(exchange)
 	faulty := exchange.Reply.Faulty
 	f.lease.Finish(balancer.Result{
 		Kind:      balancer.Declined,
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -46,6 +46,8 @@
 		Attempt: response.Header.Get("Id"),
 		Sealed:  response.Header.Get("Seal") != "",
 		NotRun:  response.Header.Get("Not-Run") != "",
+
+		Misdirected: response.StatusCode == http.StatusMisdirectedRequest,
 	}
 }
 
@@ -186,6 +188,12 @@
 // broken closes the connection without an answer.
 func broken(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
+// misdirected answers for another endpoint than the one that is called.
+func misdirected(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusMisdirectedRequest)
+}
+
 // declined has not run the call.
 func declined(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Id", r.Header.Get("Id"))
