Begin to share a cold rate at random points

Cause: each of 45 entries has a 45th of an endpoint's cold rate, a call in 3.2 s, and began with nothing saved. When a whole group starts again no entry sent a call for most of the 3 s of the cold start (547 refusals "all endpoints are busy").

Change: when an endpoint turns cold each entry begins at a random part of the time between two of its calls. All together send at the rate from then on. It also ends the case in which each entry had one call saved up when a warm endpoint turned cold.

TestRebornGroup holds 45 entries and 72 endpoints to the platform's bound and fails on the code before, where under nine tenths are served.

--- a/coordination/balancer/lease.go
+++ b/coordination/balancer/lease.go
@@ -86,7 +86,7 @@
 	s.trying = false
 	l.pool.count(now)
 	if result.Cold > 0 {
-		s.coldUntil = now.Add(result.Cold)
+		s.chill(now, result.Cold)
 	}
 	if result.Kind == Declined && result.Blameless && l.pool.spec.Engine != nil {
 		l.pool.broken = true
--- a/coordination/balancer/reborn_test.go
+++ b/coordination/balancer/reborn_test.go
@@ -1,11 +1,14 @@
 package balancer
 
 import (
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/banyanplank/banyanplank"
 )
 
 // TestRebornEndpoints is the pattern after a loss of power: half of the listed
@@ -33,3 +36,40 @@
 		is.True(served >= 92)
 	})
 }
+
+// TestRebornGroup has all endpoints of a large group start again, and many entries
+// share their cold rate. Its calls are served from the first second on, and no
+// endpoint gets more than the platform allows: 1.5 times its rate and 5 more.
+func TestRebornGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const entries, ranks, rate, asked = 45, 72, 14.0, 230
+		spec := engine(12)
+		spec.ColdRate = rate
+		backends := endpoints("chat", ranks, 12, "a", "b", "c")
+		for i := range backends {
+			backends[i].Cold = 3 * time.Second
+		}
+		all := make([]*Balancer, entries)
+		for i := range all {
+			all[i] = New(WithZone("a"), WithRandom(rand.New(rand.NewPCG(uint64(i), 7))))
+			all[i].Renew(time.Now(), Fleet{Pools: []banyanplank.PoolSpec{spec}, Backends: backends, Entries: entries})
+		}
+		for second := range 3 {
+			served, most := 0, make(map[banyanplank.BackendID]int)
+			for call := range asked {
+				lease, _, err := all[call%entries].pools["chat"].admit(time.Now(), Query{Service: "chat"})
+				if err == nil && lease != nil {
+					served++
+					most[lease.Backend.ID]++
+					lease.Finish(Result{Kind: Served, Cold: 3*time.Second - time.Duration(second)*time.Second})
+				}
+				time.Sleep(time.Second / asked)
+			}
+			is.True(served >= asked*9/10)
+			for _, calls := range most {
+				is.True(float64(calls) <= rate*1.5+5)
+			}
+		}
+	})
+}
--- a/coordination/balancer/seat.go
+++ b/coordination/balancer/seat.go
@@ -67,15 +67,25 @@
 func (s *seat) renew(now time.Time, backend banyanplank.Backend, out bool, coldRate float64) {
 	// An endpoint may turn cold while its zone gets no work.
 	if s.out && !out && backend.Cold == 0 {
-		s.coldUntil = now.Add(returnCold)
+		s.chill(now, returnCold)
 	}
 	if backend.Cold > 0 && (s.backend == nil || s.backend.Cold != backend.Cold) {
-		s.coldUntil = now.Add(backend.Cold)
+		s.chill(now, backend.Cold)
 	}
 	s.backend, s.out = &backend, out
 	s.cold.rate = coldRate
 }
 
+// chill notes that the endpoint is cold for a while. Its rate is shared by all
+// entries, which learn of it together: each begins at another part of the time
+// between two of its calls, so that all together send at the rate from then on.
+func (s *seat) chill(now time.Time, left time.Duration) {
+	if !now.Before(s.coldUntil) {
+		s.cold.tokens, s.cold.at = s.pool.owner.random.Float64(), now
+	}
+	s.coldUntil = now.Add(left)
+}
+
 // returnCold is how long endpoints of a zone that returns count as cold.
 const returnCold = 3 * time.Second
 
@@ -174,9 +184,7 @@
 
 // fill adds what has come since the last call.
 func (k *bucket) fill(now time.Time) {
-	if !k.at.IsZero() {
-		k.tokens += now.Sub(k.at).Seconds() * k.rate
-	}
+	k.tokens += now.Sub(k.at).Seconds() * k.rate
 	k.tokens = min(k.tokens, max(1, k.rate*burstSpan.Seconds()))
 	k.at = now
 }
