Send no calls to a rank that holds up its group

Cause: an endpoint that holds up its group of ranks was only costly to choose.

Change: such an endpoint gets no calls while any other could take them.

The calls that run when the rank turns slow are late either way.

--- a/coordination/balancer/pool.go
+++ b/coordination/balancer/pool.go
@@ -239,14 +239,18 @@
 func (p *pool) choose(now time.Time, query Query) (best *seat) {
 	lowest, seen, sample := 0.0, 0, len(p.order)/p.entries+leastSample
 	p.owner.random.Shuffle(len(p.order), func(i, j int) { p.order[i], p.order[j] = p.order[j], p.order[i] })
+	slow := p.onlySlow(now, query)
 	for _, s := range p.order {
 		if !s.isUsable(now) || s.held()+1 > p.limit(s)+0.5 || !s.hasRate(now) || slices.Contains(query.Avoid, s.backend.ID) {
 			continue
 		}
+		if s.isSlow(now) && !slow {
+			continue
+		}
 		if cost := s.cost(now, p.owner); best == nil || cost < lowest {
 			best, lowest = s, cost
 		}
-		if (s.backend.Zone == p.owner.zone || p.near == 0) && !now.Before(p.owner.slow[s.backend.ID]) {
+		if s.backend.Zone == p.owner.zone || p.near == 0 {
 			seen++
 		}
 		if seen >= sample {
@@ -256,6 +260,18 @@
 	return best
 }
 
+// onlySlow reports whether all endpoints that could take the call hold up their
+// group. While any other could, one of these gets none, even if it alone has room:
+// the call would slow all streams of the group.
+func (p *pool) onlySlow(now time.Time, query Query) bool {
+	for _, s := range p.order {
+		if s.isUsable(now) && !s.isSlow(now) && !slices.Contains(query.Avoid, s.backend.ID) {
+			return false
+		}
+	}
+	return true
+}
+
 // grant takes a place.
 func (p *pool) grant(now time.Time, s *seat, query Query) (lease *Lease) {
 	lease = &Lease{
--- a/coordination/balancer/seat.go
+++ b/coordination/balancer/seat.go
@@ -13,8 +13,6 @@
 	farCost = 1.5
 	// failureCost is for an endpoint all of whose calls fail.
 	failureCost = 8
-	// slowCost is for an endpoint that holds up its group of ranks.
-	slowCost = 100
 	// jitterCost breaks ties, so that entries do not all choose the same.
 	jitterCost = 0.3
 	// tokensPerCall is the prompt tokens that weigh as much as one more call.
@@ -106,6 +104,11 @@
 	return s.streak == 0 || !s.trying
 }
 
+// isSlow reports whether the endpoint holds up its group of ranks.
+func (s *seat) isSlow(now time.Time) bool {
+	return now.Before(s.pool.owner.slow[s.backend.ID])
+}
+
 // hasRate reports whether the endpoint's cold start allows one more call.
 func (s *seat) hasRate(now time.Time) bool {
 	return !now.Before(s.coldUntil) || s.cold.has(now)
@@ -122,9 +125,6 @@
 	if s.backend.Zone != b.zone {
 		cost += farCost
 	}
-	if now.Before(b.slow[s.backend.ID]) {
-		cost += slowCost
-	}
 	return cost + jitterCost*b.random.Float64()
 }
 
