Soak real entry daemons with seeded faults

soak/ starts the real daemon as several processes on loopback, against stand-ins for the platform in platform/mimic (store, servers, callers). From one seed it draws series of faults that overlap: store busy, refusing, silent or losing answers; links delayed, reset or cut one way; servers that crash and come back under new ids, run calls and lose the answers, end answers early, decline or fail; entries frozen, killed and stopped. After each series operators change the configuration, take keys back, take a zone out, let a server leave and stop an entry as planned.

It checks eight promises on what callers and servers saw.

--- /dev/null
+++ b/soak/checks_test.go
@@ -0,0 +1,101 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/banyanplank/banyanplank/platform/mimic"
+)
+
+// TestChecks has each check find what breaks its promise, and nothing else.
+func TestChecks(t *testing.T) {
+	begin := time.Now()
+	at := begin.Add
+	address := netip.MustParseAddrPort("127.0.0.1:1")
+	call := func(path string, from time.Duration, reply mimic.Reply, err error) *record {
+		return &record{
+			Call:  mimic.Call{Attempt: "x", Path: path, Key: keyKept},
+			entry: address, begin: at(from), end: at(from + 100*time.Millisecond), reply: reply, err: err,
+		}
+	}
+	whole := mimic.Reply{Status: 200, Whole: true, Right: true}
+	refused := mimic.Reply{Status: 503, Whole: true}
+	unknown := mimic.Reply{Status: 404, Whole: true}
+	runs := func(count int) map[string][]mimic.Run {
+		return map[string][]mimic.Run{"x": make([]mimic.Run, count)}
+	}
+	trouble := []span{{at(time.Second), at(2 * time.Second)}}
+	stopped := func(harms []span, r *record) Promise {
+		e := &entry{caller: address}
+		w := &world{entries: []*entry{e}, harms: harms, stops: map[*entry][]span{e: {{at(0), at(time.Second)}}}}
+		return w.checkStops([]*record{r})
+	}
+	versioned := func(harms []span, records ...*record) Promise {
+		w := &world{harms: harms, versions: map[string]time.Time{"v2": begin}}
+		return w.checkVersions(records)
+	}
+	claimed := func(harms []span, run mimic.Run) Promise {
+		w := &world{harms: harms, ledger: &mimic.Ledger{}, claims: []claim{{zone: "a", from: begin, until: at(3 * time.Second)}}}
+		return w.checkClaims([]mimic.Run{run})
+	}
+	back := func(reply mimic.Reply) Promise {
+		w := &world{calms: []span{{begin, at(calmTime)}}}
+		return w.checkBack([]*record{call("look", backTime+time.Second, reply, nil)})
+	}
+	cut := errors.Wrap(io.ErrUnexpectedEOF, "post")
+	dial := &net.OpError{Op: "dial", Err: io.EOF}
+	tests := map[string]struct {
+		promise Promise
+		broken  bool
+	}{
+		"once, once":                   {checkOnce([]*record{call("once", 0, whole, nil)}, runs(1)), false},
+		"once, twice":                  {checkOnce([]*record{call("once", 0, whole, nil)}, runs(2)), true},
+		"repeatable, twice":            {checkOnce([]*record{call("look", 0, whole, nil)}, runs(2)), false},
+		"refused, not run":             {checkRefusals([]*record{call("once", 0, refused, nil)}, runs(0)), false},
+		"refused, run":                 {checkRefusals([]*record{call("once", 0, refused, nil)}, runs(1)), true},
+		"the right answer":             {checkAnswers([]*record{call("look", 0, whole, nil)}), false},
+		"another answer":               {checkAnswers([]*record{call("look", 0, mimic.Reply{Status: 200, Whole: true}, nil)}), true},
+		"an answer visibly cut":        {checkAnswers([]*record{call("look", 0, mimic.Reply{Status: 200}, nil)}), false},
+		"a zone in use":                {claimed(nil, mimic.Run{Zone: "a", At: at(time.Second)}), true},
+		"a zone in use, out of touch":  {claimed(trouble, mimic.Run{Zone: "a", At: at(2500 * time.Millisecond)}), false},
+		"a zone in use, back":          {claimed(nil, mimic.Run{Zone: "a", At: at(4 * time.Second)}), false},
+		"another zone in use":          {claimed(nil, mimic.Run{Zone: "b", At: at(time.Second)}), false},
+		"a version late":               {versioned(nil, call("v2", 6*time.Second, unknown, nil)), true},
+		"a version late, out of touch": {versioned(trouble, call("v2", 5500*time.Millisecond, unknown, nil)), false},
+		"a version not yet":            {versioned(nil, call("v2", time.Second, unknown, nil)), false},
+		"a version lost":               {versioned(trouble, call("v2", 0, whole, nil), call("v2", time.Second, unknown, nil)), true},
+		"a stop that cuts":             {stopped(nil, call("once", 0, mimic.Reply{}, cut)), true},
+		"a stop, answer cut":           {stopped(nil, call("talk", 0, mimic.Reply{Status: 200}, nil)), true},
+		"a stop, served":               {stopped(nil, call("once", 0, whole, nil)), false},
+		"a stop, gone":                 {stopped(nil, call("once", 0, mimic.Reply{}, dial)), false},
+		"a stop in trouble":            {stopped([]span{{at(0), at(time.Second)}}, call("once", 0, mimic.Reply{}, cut)), false},
+		"back":                         {back(whole), false},
+		"not back":                     {back(refused), true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(len(test.promise.Broken) > 0, test.broken)
+		})
+	}
+}
+
+// TestDrawRepeats has one seed draw the same faults each time.
+func TestDrawRepeats(t *testing.T) {
+	is := is.New(t)
+	w := &world{entries: []*entry{{name: "e"}}, places: []*place{{service: "s", zone: "a"}}}
+	draw := func(seed uint64) (texts []string) {
+		for _, f := range w.draw(newRandom(seed)) {
+			texts = append(texts, f.Kind+f.Target+f.At.String()+f.Until.String())
+		}
+		return texts
+	}
+	is.Equal(draw(5), draw(5))
+	is.True(len(draw(5)) >= leastSeries)
+}
--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,230 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/banyanplank/banyanplank/platform/mimic"
+)
+
+// The shape of a round: a series of faults that overlap, and then a stretch without
+// any, in which operators work.
+const (
+	// seriesTime is the time in which the faults of a round begin.
+	seriesTime = 4 * time.Second
+	// leastFault and mostFault bound how long a fault lasts.
+	leastFault = 300 * time.Millisecond
+	mostFault  = 4 * time.Second
+	// leastSeries and mostSeries bound the faults of a round.
+	leastSeries = 5
+	mostSeries  = 12
+	// drainTime is how long a server serves on after it has said that it will leave.
+	drainTime = 4 * time.Second
+)
+
+// Fault is one fault of a run, or one act of the operators.
+type Fault struct {
+	Kind   string        `json:"kind"`
+	Target string        `json:"target"`
+	At     time.Duration `json:"at"`
+	Until  time.Duration `json:"until"`
+	// Harmless tells that everything must go on as if nothing had happened.
+	Harmless bool `json:"harmless"`
+	strike   func(over <-chan struct{})
+}
+
+// draw draws the faults of a round.
+func (w *world) draw(random *rand.Rand) (series []*Fault) {
+	for range leastSeries + random.IntN(mostSeries-leastSeries+1) {
+		f := w.drawOne(random)
+		f.At = time.Duration(random.Int64N(int64(seriesTime)))
+		f.Until = f.At + leastFault + time.Duration(random.Int64N(int64(mostFault-leastFault)))
+		series = append(series, f)
+	}
+	return series
+}
+
+// drawOne draws a fault without its times.
+func (w *world) drawOne(random *rand.Rand) (f *Fault) {
+	e := w.entries[random.IntN(len(w.entries))]
+	index := random.IntN(len(w.places))
+	p := w.places[index]
+	troubles := map[string]mimic.Trouble{
+		"store busy": mimic.Busy, "store many": mimic.Many, "store lost answers": mimic.Lost, "store silent": mimic.Silent,
+	}
+	modes := map[string]mode{"delay": delay, "reset": reset, "mute": mute, "deaf": deaf}
+	names := []string{"delay", "reset", "mute", "deaf"}
+	name := names[random.IntN(len(names))]
+	switch random.IntN(10) {
+	case 0:
+		stores := []string{"store busy", "store many", "store lost answers", "store silent"}
+		trouble, share := stores[random.IntN(len(stores))], []float64{0.3, 1}[random.IntN(2)]
+		return &Fault{Kind: trouble, Target: fmt.Sprintf("%.0f%% of calls", 100*share), strike: func(over <-chan struct{}) {
+			w.store.Suffer(troubles[trouble], share)
+			<-over
+			w.store.Suffer(mimic.None, 0)
+		}}
+	case 1:
+		return &Fault{Kind: "link to store " + name, Target: e.name, strike: through(e.store, modes[name])}
+	case 2, 3:
+		return &Fault{Kind: "link to server " + name, Target: p.name(index), strike: through(p.back, modes[name])}
+	case 8, 9:
+		names := []string{"forgetful", "short", "full", "failing"}
+		flaws := []mimic.Flaw{mimic.Forgetful, mimic.Short, mimic.Full, mimic.Failing}
+		n := random.IntN(len(flaws))
+		return &Fault{Kind: "servers " + names[n], Target: p.service, strike: func(over <-chan struct{}) {
+			w.suffer(p.service, flaws[n])
+			<-over
+			w.suffer(p.service, mimic.Sound)
+		}}
+	case 4:
+		return &Fault{Kind: "server crash", Target: p.name(index), strike: func(over <-chan struct{}) { w.restart(index, over) }}
+	case 5:
+		return &Fault{Kind: "entry frozen", Target: e.name, strike: func(over <-chan struct{}) {
+			w.hold(e, func() {
+				e.signal(syscall.SIGSTOP)
+				<-over
+				e.signal(syscall.SIGCONT)
+			})
+		}}
+	case 6:
+		return &Fault{Kind: "entry killed", Target: e.name, strike: func(over <-chan struct{}) {
+			w.hold(e, func() {
+				e.signal(syscall.SIGKILL)
+				e.wait()
+				<-over
+				w.failed(e.start())
+			})
+		}}
+	default:
+		return &Fault{Kind: "entry stopped in trouble", Target: e.name, strike: func(over <-chan struct{}) {
+			w.hold(e, func() {
+				e.signal(syscall.SIGTERM)
+				e.wait()
+				<-over
+				w.failed(e.start())
+			})
+		}}
+	}
+}
+
+// through sets the mode of a proxy for a while.
+func through(p *proxy, m mode) (strike func(over <-chan struct{})) {
+	return func(over <-chan struct{}) {
+		p.set(m)
+		<-over
+		p.set(pass)
+	}
+}
+
+// hold lets one fault after the other have a process.
+func (w *world) hold(e *entry, strike func()) {
+	e.held.Lock()
+	defer e.held.Unlock()
+	strike()
+}
+
+// suffer gives all servers of a service a flaw, or none.
+func (w *world) suffer(service string, flaw mimic.Flaw) {
+	for _, p := range w.places {
+		if p.service != service {
+			continue
+		}
+		p.held.Lock()
+		p.server.Suffer(flaw)
+		p.held.Unlock()
+	}
+}
+
+// restart crashes a server and starts it again under a new id.
+func (w *world) restart(index int, over <-chan struct{}) {
+	p := w.places[index]
+	p.held.Lock()
+	defer p.held.Unlock()
+	p.server.Crash()
+	<-over
+	w.failed(p.start(index, w.store, w.ledger))
+}
+
+// operate lists what operators do in a stretch without faults: a planned stop, a new
+// configuration that takes a key back, a zone out of service and back, a server that
+// leaves as planned.
+func (w *world) operate(random *rand.Rand) (acts []*Fault) {
+	e := w.entries[random.IntN(len(w.entries))]
+	zone := zones[random.IntN(len(zones))]
+	index := random.IntN(len(w.places))
+	acts = []*Fault{
+		{Kind: "configuration", Target: "all", At: 3 * time.Second, strike: func(<-chan struct{}) { w.configure() }},
+		{Kind: "planned stop", Target: e.name, At: 5 * time.Second, Until: 5 * time.Second, strike: func(<-chan struct{}) {
+			w.hold(e, func() {
+				begin := time.Now()
+				e.signal(syscall.SIGTERM)
+				e.wait()
+				w.stopped(e, span{begin, time.Now()})
+				w.failed(e.start())
+			})
+		}},
+		{Kind: "zone out of service", Target: zone, At: 3 * time.Second, Until: 10 * time.Second, strike: func(over <-chan struct{}) {
+			mimic.Evacuate(w.store, zone)
+			w.say(claim{zone: zone, from: time.Now().Add(obeyTime), until: w.end(10 * time.Second)})
+			<-over
+			mimic.Return(w.store, zone)
+		}},
+		{Kind: "server leaves", Target: w.places[index].name(index), At: 3 * time.Second, Until: 3*time.Second + drainTime, strike: func(over <-chan struct{}) {
+			p := w.places[index]
+			p.held.Lock()
+			defer p.held.Unlock()
+			p.server.Drain()
+			w.say(claim{server: p.server.ID, from: time.Now().Add(drainTime - time.Second)})
+			<-over
+			p.server.Crash()
+			w.failed(p.start(index, w.store, w.ledger))
+		}},
+	}
+	for _, a := range acts {
+		a.Harmless = true
+	}
+	return acts
+}
+
+// play lets faults strike, each at its time from now on, and waits until all are
+// over.
+func (w *world) play(ctx context.Context, faults []*Fault) {
+	w.stretch = time.Now()
+	base := time.Since(w.began)
+	var group conc.WaitGroup
+	for _, f := range faults {
+		group.Go(func() {
+			if pause(ctx, f.At) != nil {
+				return
+			}
+			over := make(chan struct{})
+			timer := time.AfterFunc(max(0, f.Until-f.At), func() { close(over) })
+			defer timer.Stop()
+			begin := time.Now()
+			f.strike(over)
+			f.At += base
+			f.Until = time.Since(w.began)
+			if !f.Harmless {
+				w.harmed(begin, time.Now())
+			}
+		})
+	}
+	group.Wait()
+	w.faults = append(w.faults, faults...)
+}
+
+// pause waits.
+func pause(ctx context.Context, d time.Duration) (err error) {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
