Let the entry that leads next release a pass left held

Cause: the entry that plans maps holds a pass while it arms the ranks.

Change: the entry that leads next looks every 0.1 s whether all its streams have stood still for 0.3 s or three passes. If the next pass is held it finishes the switch. Two entries may do so at once, as the tests with thawed leaders show.

Ruled out: a shorter silence of heartbeats. Those between zones come every 0.72 s.

--- a/coordination/balancer/balancer.go
+++ b/coordination/balancer/balancer.go
@@ -283,6 +283,14 @@
 	return time.Since(p.pace.last)
 }
 
+// Stands reports whether all streams of a service have stood still for some passes.
+func (b *Balancer) Stands(service banyanplank.ServiceName) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	p := b.pools[service]
+	return p != nil && p.stands(time.Now())
+}
+
 // PoolStatus describes one service for logs and metrics.
 type PoolStatus struct {
 	Service  banyanplank.ServiceName
--- a/coordination/balancer/pool.go
+++ b/coordination/balancer/pool.go
@@ -33,6 +33,10 @@
 	silence = 500 * time.Millisecond
 	// silentPasses is the same in passes, for groups that are slow.
 	silentPasses = 4
+	// standstill and standPasses are the same for a group that may wait for a pass
+	// that was left held. Looking in vain costs a report of each rank.
+	standstill  = 300 * time.Millisecond
+	standPasses = 3
 	// leastStreams is the number of streams whose silence tells of the group.
 	leastStreams = 3
 	// probePause is the time between two calls that try whether the group is open.
@@ -210,11 +214,20 @@
 	if p.spec.Engine == nil {
 		return false
 	}
-	streams := 0
+	return p.broken || (p.streams() >= leastStreams && p.isSilent(now))
+}
+
+// streams counts the calls that have their first event.
+func (p *pool) streams() (count int) {
 	for _, s := range p.order {
-		streams += s.begun
+		count += s.begun
 	}
-	return p.broken || (streams >= leastStreams && p.isSilent(now))
+	return count
+}
+
+// stands reports whether the streams have stood still for some passes.
+func (p *pool) stands(now time.Time) bool {
+	return p.streams() >= leastStreams && now.Sub(p.pace.last) > max(standstill, standPasses*p.pace.mean)
 }
 
 // isSilent reports whether no stream has gone on for long.
--- a/coordination/stepper/stepper.go
+++ b/coordination/stepper/stepper.go
@@ -23,11 +23,28 @@
 	// the least number of ranks that are asked.
 	mostNumbers = 24_000
 	leastSample = 8
+	// lookInterval is the time between two looks of an entry on standby. The
+	// streams of a group have then stood still for some passes of 0.1 s.
+	lookInterval = 100 * time.Millisecond
 )
 
-// Fleet returns the routes and endpoints as now known, and whether this entry is
-// the one that plans. The table is nil when none is known.
-type Fleet func() (table *banyanplank.RoutingTable, backends []banyanplank.Backend, leads bool)
+// Duty is what an entry does for the groups of ranks.
+type Duty uint8
+
+// The duties.
+const (
+	// Idle entries do nothing.
+	Idle Duty = iota
+	// Standby is the duty of the entry that leads next: it releases a pass that the
+	// one that leads has left held.
+	Standby
+	// Lead is the duty of the one entry that plans.
+	Lead
+)
+
+// Fleet returns the routes and endpoints as now known, and the duty of this entry.
+// The table is nil when none is known.
+type Fleet func() (table *banyanplank.RoutingTable, backends []banyanplank.Backend, duty Duty)
 
 // Note is a decision of a stepper, for the log.
 type Note struct {
@@ -68,6 +85,12 @@
 	return func(s *Stepper) { s.slow = slow }
 }
 
+// WithStanding asks standing whether the streams of a service have stood still for
+// some passes. Use it where others may lead too. The default is that they never do.
+func WithStanding(standing func(service banyanplank.ServiceName) bool) Option {
+	return func(s *Stepper) { s.standing = standing }
+}
+
 // Stepper keeps groups of ranks even. Run it once.
 type Stepper struct {
 	ranks    banyanplank.Ranks
@@ -76,6 +99,7 @@
 	zone     banyanplank.Zone
 	note     func(n Note)
 	slow     func(service banyanplank.ServiceName, endpoints []banyanplank.BackendID)
+	standing func(service banyanplank.ServiceName) bool
 	terms    map[banyanplank.ServiceName]*term
 }
 
@@ -99,6 +123,7 @@
 		interval: DefaultInterval,
 		note:     func(Note) {},
 		slow:     func(banyanplank.ServiceName, []banyanplank.BackendID) {},
+		standing: func(banyanplank.ServiceName) bool { return false },
 		terms:    make(map[banyanplank.ServiceName]*term),
 	}
 	for _, option := range options {
@@ -107,12 +132,18 @@
 	return s
 }
 
-// Run looks at the demand at every interval until ctx ends.
+// Run looks at the demand at every interval until ctx ends. On standby it looks more
+// often whether a group stands still.
 func (s *Stepper) Run(ctx context.Context) (err error) {
-	for wait(ctx, s.interval) == nil {
-		table, backends, leads := s.fleet()
-		if !leads || table == nil {
+	pause := s.interval
+	for wait(ctx, pause) == nil {
+		table, backends, duty := s.fleet()
+		pause = s.interval
+		if duty != Lead || table == nil {
 			clear(s.terms)
+			pause = min(lookInterval, s.interval)
+		}
+		if duty == Idle || table == nil {
 			continue
 		}
 		for i := range table.Pools {
@@ -120,7 +151,11 @@
 			if pool.Engine == nil || pool.Engine.Layers == 0 {
 				continue
 			}
-			if err := s.round(ctx, pool, table.GapOf(pool.Name), backends); err != nil && ctx.Err() == nil {
+			work := func() error { return s.round(ctx, pool, table.GapOf(pool.Name), backends) }
+			if duty == Standby {
+				work = func() error { return s.relieve(ctx, pool.Name, backends) }
+			}
+			if err := work(); err != nil && ctx.Err() == nil {
 				s.note(Note{Event: "round failed", Service: pool.Name, Err: err})
 			}
 		}
@@ -128,6 +163,22 @@
 	return nil
 }
 
+// relieve finishes the switch of the entry that leads, if the group stands still
+// before a pass that it has held. Two entries may do so at once.
+func (s *Stepper) relieve(ctx context.Context, service banyanplank.ServiceName, all []banyanplank.Backend) (err error) {
+	if !s.standing(service) {
+		return nil
+	}
+	g, err := s.gather(ctx, service, all)
+	if err != nil || !g.isOverdue() {
+		return err
+	}
+	began := time.Now()
+	err = g.settle(ctx)
+	s.note(Note{Event: "held pass", Service: service, Epoch: g.epoch, Step: g.step(), Took: time.Since(began), Err: err})
+	return nil
+}
+
 // round looks at one group, and brings a better map into use if there is one.
 func (s *Stepper) round(ctx context.Context, pool *banyanplank.PoolSpec, gap time.Duration, all []banyanplank.Backend) (err error) {
 	g, err := s.gather(ctx, pool.Name, all)
--- a/coordination/stepper/switch.go
+++ b/coordination/stepper/switch.go
@@ -168,6 +168,16 @@
 	return false
 }
 
+// isOverdue reports whether the next pass is held.
+func (g *group) isOverdue() bool {
+	for _, r := range g.reports {
+		if r.Held == g.step()+1 {
+			return true
+		}
+	}
+	return false
+}
+
 // give gives an order to several ranks and returns those that have not accepted it.
 func (g *group) give(ctx context.Context, order banyanplank.RankOrder, to []*banyanplank.Backend) (left []*banyanplank.Backend) {
 	failed := make([]error, len(to))
--- a/coordination/stepper/thaw_test.go
+++ b/coordination/stepper/thaw_test.go
@@ -81,6 +81,41 @@
 	}
 }
 
+// TestRelievedLeader freezes the entry that leads at any moment of a switch, for as
+// long as the others still take it to be there. The one on standby releases the pass
+// that it has held, and the streams go on within a second. Where orders are carried
+// out late too, it may take longer, and passes still have one map.
+func TestRelievedLeader(t *testing.T) {
+	for moment := range moments(120) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(16, 4, 64, 5, uint64(moment))
+			least := 200 - 20 // of 200
+			if moment%2 == 1 {
+				w.lost, least = 0.1, 140
+			}
+			frozen := &gate{world: w}
+			steppers := []*Stepper{
+				New(frozen, w.fleet(always)),
+				New(w, w.standby(), WithStanding(w.standing)),
+			}
+			play(t, w, steppers, 10*time.Second, func(ctx context.Context) {
+				_ = wait(ctx, 800*time.Millisecond+time.Duration(moment)*2*time.Millisecond)
+				frozen.mutex.Lock()
+				thaw := make(chan struct{})
+				frozen.thaw = thaw
+				frozen.mutex.Unlock()
+				_ = wait(ctx, 4*time.Second)
+				frozen.mutex.Lock()
+				frozen.thaw = nil
+				frozen.mutex.Unlock()
+				close(thaw)
+			})
+			is.True(w.passes > least)
+		})
+	}
+}
+
 // TestTakenOver has two entries lead until one of them stops at any moment of its
 // switch, and hand over what it was about. The group must not stand still for
 // longer than a second.
--- a/coordination/stepper/world_test.go
+++ b/coordination/stepper/world_test.go
@@ -33,6 +33,8 @@
 	mixed   int
 	passes  int
 	changes int
+	// began is when the last pass began.
+	began time.Time
 	// weight is the demand by expert.
 	weight []float64
 }
@@ -106,7 +108,7 @@
 			return
 		}
 	}
-	w.step = next
+	w.step, w.began = next, time.Now()
 	w.passes++
 	for _, r := range w.ranks {
 		if r.armed != 0 && r.at == next {
@@ -305,8 +307,28 @@
 // fleet returns what a stepper that leads sees.
 func (w *world) fleet(leads func() bool) Fleet {
 	table := &banyanplank.RoutingTable{Version: 1, Pools: []banyanplank.PoolSpec{{Name: "chat", Engine: &w.spec}}}
-	return func() (*banyanplank.RoutingTable, []banyanplank.Backend, bool) {
-		return table, append([]banyanplank.Backend(nil), w.backends...), leads()
+	return func() (*banyanplank.RoutingTable, []banyanplank.Backend, Duty) {
+		duty := Idle
+		if leads() {
+			duty = Lead
+		}
+		return table, append([]banyanplank.Backend(nil), w.backends...), duty
+	}
+}
+
+// standing reports whether the group has begun no pass for several passes.
+func (w *world) standing(banyanplank.ServiceName) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return !w.began.IsZero() && time.Since(w.began) > 300*time.Millisecond
+}
+
+// standby returns what a stepper sees that leads next.
+func (w *world) standby() Fleet {
+	fleet := w.fleet(always)
+	return func() (*banyanplank.RoutingTable, []banyanplank.Backend, Duty) {
+		table, backends, _ := fleet()
+		return table, backends, Standby
 	}
 }
 
--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -83,6 +83,8 @@
 	// Leads tells that this entry does what one has to do for all: it is the
 	// first of those that take callers, and hears most of those that are known.
 	Leads bool
+	// Follows tells that this entry leads next.
+	Follows bool
 	// Ready tells that this entry may take new callers.
 	Ready bool
 }
@@ -294,6 +296,8 @@
 	slices.SortFunc(s.Entries, func(a, b banyanplank.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	s.Watches = m.watches()
 	// Of two parts of the entries that don't hear each other, one leads at most.
-	s.Leads = s.Ready && s.Entries[0].ID == m.self.ID && 2*s.Alive > len(m.members)+1
+	most := s.Ready && 2*s.Alive > len(m.members)+1
+	s.Leads = most && s.Entries[0].ID == m.self.ID
+	s.Follows = most && len(s.Entries) > 1 && s.Entries[1].ID == m.self.ID
 	m.snapshot = s
 }
--- a/coordination/surveyor/surveyor_test.go
+++ b/coordination/surveyor/surveyor_test.go
@@ -258,14 +258,15 @@
 		beats          []HeardMsg
 		listed         int // entries that are known and not heard
 		watches, leads bool
+		follows        bool
 	}{
 		"alone":                            {watches: true, leads: true},
-		"after another in the zone":        {beats: []HeardMsg{beat("e1", "a", true, false)}},
+		"after another in the zone":        {beats: []HeardMsg{beat("e1", "a", true, false)}, follows: true},
 		"before another in the zone":       {beats: []HeardMsg{beat("e5", "a", true, false)}, watches: true, leads: true},
-		"after one that can't see":         {beats: []HeardMsg{beat("e1", "a", true, true)}, watches: true},
+		"after one that can't see":         {beats: []HeardMsg{beat("e1", "a", true, true)}, watches: true, follows: true},
 		"after two that can't see":         {beats: []HeardMsg{beat("e0", "a", true, true), beat("e1", "a", true, true)}},
 		"after two, while others see":      {beats: []HeardMsg{beat("e0", "a", true, true), beat("e1", "a", true, true), watching(beat("e3", "b", true, false))}, watches: true},
-		"after one of another zone":        {beats: []HeardMsg{beat("e1", "b", true, false)}, watches: true},
+		"after one of another zone":        {beats: []HeardMsg{beat("e1", "b", true, false)}, watches: true, follows: true},
 		"hears less than half of the rest": {beats: []HeardMsg{beat("e5", "b", true, false)}, listed: 3, watches: true},
 		"hears most of the rest":           {beats: []HeardMsg{beat("e5", "b", true, false), beat("e6", "b", true, false)}, listed: 2, watches: true, leads: true},
 	}
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -108,7 +108,8 @@
 		logger:    logger,
 		counters:  newCounters(),
 	}
-	d.stepper = stepper.New(ranks, d.fleet, stepper.WithNotes(d.noteStep), stepper.WithSlow(d.noteSlow), stepper.WithZone(settings.Zone))
+	d.stepper = stepper.New(ranks, d.fleet, stepper.WithNotes(d.noteStep), stepper.WithSlow(d.noteSlow),
+		stepper.WithZone(settings.Zone), stepper.WithStanding(d.balancer.Stands))
 	d.loop = banyanplank.NewLoop(model, executor{d}, banyanplank.WithTick(surveyor.TickInterval), banyanplank.WithAfter(d.publish))
 	d.relay = newRelay(d.view.Load)
 	d.follower = follower.New(discovery,
@@ -173,12 +174,17 @@
 }
 
 // fleet returns what the stepper needs to know.
-func (d *Daemon) fleet() (table *banyanplank.RoutingTable, backends []banyanplank.Backend, leads bool) {
+func (d *Daemon) fleet() (table *banyanplank.RoutingTable, backends []banyanplank.Backend, duty stepper.Duty) {
 	snapshot := d.view.Load()
-	if !snapshot.Leads {
-		return nil, nil, false
+	switch {
+	case snapshot.Leads:
+		duty = stepper.Lead
+	case snapshot.Follows:
+		duty = stepper.Standby
+	default:
+		return nil, nil, stepper.Idle
 	}
-	return snapshot.Router.Table(), slices.Clone(snapshot.Backends), true
+	return snapshot.Router.Table(), slices.Clone(snapshot.Backends), duty
 }
 
 // slowWord is which endpoints hold up their group of ranks, and since when that
