Reserve the ports of a soak run

The daemon was not at fault.

Change: each run holds a block of ports while it lasts; and a run that can't be set up ends what it had started.

--- a/soak/process.go
+++ b/soak/process.go
@@ -11,7 +11,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -58,26 +57,44 @@
 }
 
 // The ports of entries and servers. They are below those that systems choose for
-// connections by themselves, since a process that starts again needs its own.
+// connections by themselves, since a process that starts again needs its own. Each
+// run has a block, and holds it by listening on its first port.
 const (
 	firstPort = 20000
-	ports     = 10000
+	blocks    = 40
+	blockSize = 250
 )
 
-// nextPort is where the search for a free port goes on.
-var nextPort atomic.Uint32
+// block is a range of ports that one run has.
+type block struct {
+	held net.Listener
+	next uint16
+}
 
-func init() { nextPort.Store(rand.Uint32N(ports)) }
+// reserve finds a block that no other run has.
+func reserve() (b *block, err error) {
+	for _, i := range rand.Perm(blocks) {
+		first := uint16(firstPort + i*blockSize)
+		if open, err := net.Listen("tcp", loopback(first).String()); err == nil {
+			return &block{held: open, next: first}, nil
+		}
+	}
+	return nil, errors.New("no block of ports is free")
+}
 
-// free returns a loopback address whose port nothing uses.
-func free() (address netip.AddrPort, err error) {
-	for range ports {
-		address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+nextPort.Add(1)%ports))
-		if isFree(address) {
+// address returns the next address of the block that nothing uses.
+func (b *block) address() (address netip.AddrPort, err error) {
+	for range blockSize - 1 {
+		b.next++
+		if address = loopback(b.next); isFree(address) {
 			return address, nil
 		}
 	}
-	return address, errors.New("no port is free")
+	return address, errors.New("the block of ports is used up")
+}
+
+func loopback(port uint16) (address netip.AddrPort) {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
 }
 
 func isFree(address netip.AddrPort) bool {
@@ -93,14 +110,14 @@
 }
 
 // newEntry writes the settings of an entry.
-func newEntry(name, zone, program, dir string, store netip.AddrPort) (e *entry, err error) {
+func newEntry(name, zone, program, dir string, store netip.AddrPort, ports *block) (e *entry, err error) {
 	defer func() { err = errors.Wrapf(err, "prepare %s", name) }()
 	e = &entry{name: name, zone: zone, program: program, dir: dir}
 	if e.store, err = newProxy(store); err != nil {
 		return nil, err
 	}
 	for _, address := range []*netip.AddrPort{&e.caller, &e.directory, &e.ready, &e.peer} {
-		if *address, err = free(); err != nil {
+		if *address, err = ports.address(); err != nil {
 			return nil, err
 		}
 	}
@@ -161,6 +178,9 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.told = e.told || s == syscall.SIGTERM || s == syscall.SIGKILL
+	if e.cmd == nil {
+		return // it was never started
+	}
 	// An error means that the process has ended.
 	_ = e.cmd.Process.Signal(s)
 }
@@ -207,9 +227,9 @@
 }
 
 // newPlace reserves the addresses of a server.
-func newPlace(service, zone string) (p *place, err error) {
+func newPlace(service, zone string, ports *block) (p *place, err error) {
 	p = &place{service: service, zone: zone}
-	if p.listen, err = free(); err != nil {
+	if p.listen, err = ports.address(); err != nil {
 		return nil, err
 	}
 	p.back, err = newProxy(p.listen)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -84,6 +84,7 @@
 	store   *mimic.Store
 	served  *http.Server
 	serving conc.WaitGroup
+	ports   *block
 	ledger  *mimic.Ledger
 	entries []*entry
 	places  []*place
@@ -124,10 +125,10 @@
 			}
 		}()
 	}
+	defer w.close()
 	if err := w.build(); err != nil {
 		return nil, err
 	}
-	defer w.close()
 	records := w.run(ctx)
 	if err := errors.Join(w.errs...); err != nil {
 		return nil, err
@@ -140,6 +141,9 @@
 
 // build starts the stand-ins and the entries.
 func (w *world) build() (err error) {
+	if w.ports, err = reserve(); err != nil {
+		return err
+	}
 	open, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -152,7 +156,7 @@
 		if i >= desks {
 			service = mimic.Chat
 		}
-		p, err := newPlace(service, zones[i%len(zones)])
+		p, err := newPlace(service, zones[i%len(zones)], w.ports)
 		if err != nil {
 			return err
 		}
@@ -162,7 +166,7 @@
 		}
 	}
 	for i := range w.options.entries {
-		e, err := newEntry(fmt.Sprintf("entry-%d", i), zones[i%len(zones)], w.program, w.dir, netip.MustParseAddrPort(open.Addr().String()))
+		e, err := newEntry(fmt.Sprintf("entry-%d", i), zones[i%len(zones)], w.program, w.dir, netip.MustParseAddrPort(open.Addr().String()), w.ports)
 		if err != nil {
 			return err
 		}
@@ -182,11 +186,18 @@
 		e.store.close()
 	}
 	for _, p := range w.places {
-		p.server.Crash()
+		if p.server != nil {
+			p.server.Crash()
+		}
 		p.back.close()
 	}
-	_ = w.served.Close()
-	w.serving.Wait()
+	if w.served != nil {
+		_ = w.served.Close()
+		w.serving.Wait()
+	}
+	if w.ports != nil {
+		_ = w.ports.held.Close()
+	}
 }
 
 // run plays all rounds while callers call.
