Drop lines of served calls first, and end though the output is blocked

Cause: lines that found the buffer full were dropped whatever they said, and a daemon whose output takes nothing did not end: the last write waited for ever. No test held the logger to its promise.

Change: lines of level info may fill three quarters of the buffer. The end waits half a second for the output.

Sampling of served calls by id and the cost of lines are not done.

--- a/transport/logger/logger.go
+++ b/transport/logger/logger.go
@@ -13,11 +13,27 @@
 // New returns a logger that writes one line of key=value pairs for each
 // event to out.
 func New(out io.Writer) *log.Logger {
+	all := &log.ConsoleWriter{Writer: out, Formatter: formatLine}
+	info := all
+	if w, ok := out.(*Writer); ok {
+		info = &log.ConsoleWriter{Writer: lesser{w}, Formatter: formatLine}
+	}
 	return &log.Logger{
 		Level:      log.InfoLevel,
 		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
-		Writer:     &log.ConsoleWriter{Writer: out, Formatter: formatLine},
+		Writer:     &sorter{info: info, all: all},
+	}
+}
+
+// sorter writes lines by their level.
+type sorter struct{ info, all log.Writer }
+
+// WriteEntry implements [log.Writer].
+func (s *sorter) WriteEntry(e *log.Entry) (n int, err error) {
+	if e.Level <= log.InfoLevel {
+		return s.info.WriteEntry(e)
 	}
+	return s.all.WriteEntry(e)
 }
 
 // formatLine writes the time, the level, the event and the fields.
--- a/transport/logger/writer.go
+++ b/transport/logger/writer.go
@@ -9,13 +9,19 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 )
 
 // The bounds of a Writer.
 const (
-	// maxWaiting bounds the bytes that wait for the output.
+	// maxWaiting bounds the bytes that wait for the output, and maxLesser those
+	// beyond which only warnings and errors are taken: refusals and failures tell
+	// more than calls that were served.
 	maxWaiting = 512 << 10
+	maxLesser  = 384 << 10
+	// closeTimeout bounds the last write, into an output that may take nothing.
+	closeTimeout = 500 * time.Millisecond
 	// flushInterval is how long lines are collected into one write.
 	flushInterval = 100 * time.Millisecond
 )
@@ -29,6 +35,7 @@
 	dropped int
 	total   atomic.Uint64
 	work    conc.WaitGroup
+	last    conc.WaitGroup
 	cancel  context.CancelFunc
 }
 
@@ -41,10 +48,19 @@
 }
 
 // Write takes one line. It never blocks and never fails.
-func (w *Writer) Write(line []byte) (n int, err error) {
+func (w *Writer) Write(line []byte) (n int, err error) { return w.take(line, maxWaiting) }
+
+// lesser takes the lines of a writer that may be dropped first.
+type lesser struct{ *Writer }
+
+// Write takes one line. It never blocks and never fails.
+func (l lesser) Write(line []byte) (n int, err error) { return l.take(line, maxLesser) }
+
+// take takes a line unless more than most bytes would wait.
+func (w *Writer) take(line []byte, most int) (n int, err error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.waiting.Len()+len(line) > maxWaiting {
+	if w.waiting.Len()+len(line) > most {
 		w.dropped++
 		w.total.Add(1)
 		return len(line), nil
@@ -90,9 +106,21 @@
 	}
 }
 
-// Close writes what waits and stops.
+// Close writes what waits and stops. It doesn't wait for an output that takes
+// nothing; the error tells so.
 func (w *Writer) Close() (err error) {
 	w.cancel()
-	w.work.Wait()
-	return nil
+	done := make(chan struct{})
+	w.last.Go(func() {
+		defer close(done)
+		w.work.Wait()
+	})
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return nil
+	case <-timer.C:
+		return errors.Newf("the output took no lines for %s", closeTimeout)
+	}
 }
