Tell callers to return when a broken group is likely open

Cause: callers come back once. During an outage of a group they were told 1.2 to 2.4 s, and many of them were refused again, which was final. An outage takes some 2 s where a rank starts again.

Change: 2 to 2.6 s, the most that callers of 8 s wait, and once a rank is back while the group stands still, the 0.85 s until it has formed.

--- a/coordination/balancer/lost_test.go
+++ b/coordination/balancer/lost_test.go
@@ -1,11 +1,13 @@
 package balancer
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
 	"github.com/banyanplank/banyanplank"
 )
@@ -60,3 +62,55 @@
 		is.True(served <= probePause+20*time.Millisecond)
 	})
 }
+
+// TestReturningCallers has a group lose a rank for as long as the platform takes to
+// start it again. Callers that are refused come back once, when they are told to, and
+// the group takes nearly all of them then.
+func TestReturningCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const back, form, callers = 1600 * time.Millisecond, 600 * time.Millisecond, 320
+		backends := endpoints("chat", 16, 12, "a")
+		b := newTest(engine(12), backends, 1)
+		begin := time.Now()
+		down := func() bool { return time.Since(begin) < back+form }
+		// call makes a call and returns when to come back, or zero.
+		call := func() (after time.Duration) {
+			lease, err := b.Acquire(t.Context(), Query{Service: "chat", Goal: 400 * time.Millisecond})
+			if err != nil {
+				return refusalOf(t, err).RetryAfter
+			}
+			if down() {
+				lease.Finish(Result{Kind: Declined, Blameless: true})
+				return b.RetryAfter("chat")
+			}
+			lease.Begun()
+			lease.Finish(Result{Kind: Served})
+			return 0
+		}
+		var work conc.WaitGroup
+		work.Go(func() {
+			time.Sleep(back)
+			backends[3].ID = "chat-new"
+			b.Renew(time.Now(), Fleet{Pools: []banyanplank.PoolSpec{engine(12)}, Backends: backends, Entries: 1})
+		})
+		var refused, again atomic.Int64
+		for i := range callers {
+			work.Go(func() {
+				time.Sleep(time.Duration(i) * (back + form) / callers)
+				after := call()
+				if after == 0 {
+					return
+				}
+				refused.Add(1)
+				time.Sleep(after)
+				if call() > 0 {
+					again.Add(1)
+				}
+			})
+		}
+		work.Wait()
+		is.True(refused.Load() > callers/2)
+		is.True(again.Load() < refused.Load()/10)
+	})
+}
--- a/coordination/balancer/pool.go
+++ b/coordination/balancer/pool.go
@@ -20,10 +20,14 @@
 	retryLeast = 250 * time.Millisecond
 	retryMost  = 2 * time.Second
 	// retryBroken and retryBrokenMost bound the time for a group of ranks that
-	// has lost one: it opens again when that one is back, which takes seconds.
-	// Callers wait no longer than a third of the time that they have left.
-	retryBroken     = 1200 * time.Millisecond
-	retryBrokenMost = 2400 * time.Millisecond
+	// has lost one: it opens again when that one is back, which takes some 2 s on
+	// the users' platform. Callers come back once and wait no longer than a third
+	// of the time that they have left, which is 2.7 s at most.
+	retryBroken     = 2 * time.Second
+	retryBrokenMost = 2600 * time.Millisecond
+	// formTime is how long a group takes to open once all its ranks are back: 0.6 s
+	// on the users' platform, and the time until the first probe.
+	formTime = 850 * time.Millisecond
 )
 
 // The signs of a group of ranks that has lost one.
@@ -79,6 +83,9 @@
 	// when a call was last let through to try.
 	broken bool
 	probed time.Time
+	// opens is when the group is expected to open, if a rank came back while it
+	// stood still.
+	opens time.Time
 }
 
 // waiter is a call that waits for a place.
@@ -117,6 +124,9 @@
 		if s == nil || s.backend.Address != backend.Address || !s.backend.Born.Equal(backend.Born) {
 			s = newSeat(p)
 			p.seats[backend.ID] = s
+			if p.isDown(now) {
+				p.opens = now.Add(formTime)
+			}
 		}
 		s.renew(now, backend, fleet.Out[backend.Zone], spec.ColdRate/float64(entries))
 	}
@@ -196,6 +206,9 @@
 
 // retryBroken returns when a call that finds no endpoint should return.
 func (p *pool) retryBroken(now time.Time) (after time.Duration) {
+	if left := p.opens.Sub(now); left > 0 {
+		return left + time.Duration(p.owner.random.Int64N(int64(retryLeast)))
+	}
 	if p.spec.Engine != nil {
 		return retryBroken + time.Duration(p.owner.random.Int64N(int64(retryBrokenMost-retryBroken)))
 	}
