Cut a stream whose rest is a failure

The first endpoint ended within an event, the second one answered the rest with status 500, and that was delivered like the answer to a new call: its body went to the caller as the end of the stream.

Change: once a stream has begun, any other status than 200 is a broken answer: another endpoint if attempts are left, and otherwise a visible cut.

Figures: TestStream/cut,_then_a_failure fails on the code before.

--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -144,6 +144,9 @@
 	if f.route.Kind == banyanplank.RouteStream && exchange.Response.StatusCode == http.StatusOK {
 		return f.pump(exchange)
 	}
+	if f.stream.begun {
+		return f.broken(errors.Newf("status %d in place of the rest of a stream", exchange.Response.StatusCode))
+	}
 	return f.deliver(exchange)
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -135,6 +135,7 @@
 		"cut twice":                {true, []handler{events(1, 2, "", true), events(3, 4, "", true), events(5, 6, "", false)}, text(1, 4), true, 200, []string{"", "2"}},
 		"cut, not resumable":       {false, []handler{events(1, 3, "", true), events(4, 6, "", false)}, text(1, 3), true, 200, []string{""}},
 		"cut, then declined":       {true, []handler{events(1, 3, "", true), declined}, text(1, 3), true, 200, []string{"", "3"}},
+		"cut, then a failure":      {true, []handler{events(1, 3, "", true), failing(500)}, text(1, 3), true, 200, []string{"", "3"}},
 		"a failure":                {true, []handler{failing(500)}, "", false, 500, []string{""}},
 		"unsealed, goes elsewhere": {true, []handler{unsealed, events(1, 3, "", false)}, text(1, 3), false, 200, []string{"", ""}},
 	}
