--- a/soak/callers.go
+++ b/soak/callers.go
@@ -20,6 +20,9 @@
 	thinkTime = 80 * time.Millisecond
 	// connectTime bounds the time to connect.
 	connectTime = 500 * time.Millisecond
+	// keptConnections bounds the unused connections of a caller. All callers are in
+	// one process, whose open files are bounded.
+	keptConnections = 4
 )
 
 // record is one call, as its caller saw it.
@@ -56,7 +59,7 @@
 		world:  w,
 		name:   fmt.Sprintf("c%d", number),
 		zone:   zones[number%len(zones)],
-		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2}},
+		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConns: keptConnections, MaxIdleConnsPerHost: 2}},
 		random: rand.New(rand.NewPCG(seed, uint64(number))),
 	}
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -61,14 +61,15 @@
 // run has a block, and holds it by listening on its first port.
 const (
 	firstPort = 20000
-	blocks    = 40
-	blockSize = 250
+	blocks    = 20
+	blockSize = 500
 )
 
 // block is a range of ports that one run has.
 type block struct {
 	held net.Listener
 	next uint16
+	end  uint16
 }
 
 // reserve finds a block that no other run has.
@@ -76,7 +77,7 @@
 	for _, i := range rand.Perm(blocks) {
 		first := uint16(firstPort + i*blockSize)
 		if open, err := net.Listen("tcp", loopback(first).String()); err == nil {
-			return &block{held: open, next: first}, nil
+			return &block{held: open, next: first, end: first + blockSize}, nil
 		}
 	}
 	return nil, errors.New("no block of ports is free")
@@ -84,8 +85,7 @@
 
 // address returns the next address of the block that nothing uses.
 func (b *block) address() (address netip.AddrPort, err error) {
-	for range blockSize - 1 {
-		b.next++
+	for b.next++; b.next < b.end; b.next++ {
 		if address = loopback(b.next); isFree(address) {
 			return address, nil
 		}
