Judge each group of ranks behind a service by itself

Cause: a service may have several groups. When one of them was said to have lost a rank, an entry took the whole service for broken and refused all its calls but a probe in 0.25 s; and the planner of maps took the ranks of all groups for one group, found two with the same place, and never moved an expert.

Change: silence, loss, probes and the expected opening belong to the group that an endpoint is listed in. The planner keeps terms for each group, and what is told of slow ranks covers all groups of a service.

TestLostRankOfMany and TestTwoGroups.

--- a/coordination/balancer/balancer.go
+++ b/coordination/balancer/balancer.go
@@ -262,33 +262,21 @@
 	}
 }
 
-// Observe takes in the time between two events of a running stream.
-func (b *Balancer) Observe(service banyanplank.ServiceName, gap time.Duration) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	if p := b.pools[service]; p != nil {
-		p.pace.observe(time.Now(), gap)
-	}
-}
-
-// Alive returns how long ago some stream of the service went on, so that a
-// silent endpoint can be told from a group that stands still.
-func (b *Balancer) Alive(service banyanplank.ServiceName) (age time.Duration) {
+// Stands reports whether the streams of some group of ranks have stood still for some
+// passes.
+func (b *Balancer) Stands(service banyanplank.ServiceName) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	p := b.pools[service]
 	if p == nil {
-		return time.Hour
+		return false
 	}
-	return time.Since(p.pace.last)
-}
-
-// Stands reports whether all streams of a service have stood still for some passes.
-func (b *Balancer) Stands(service banyanplank.ServiceName) bool {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	p := b.pools[service]
-	return p != nil && p.stands(time.Now())
+	for _, g := range p.groups {
+		if g.stands(time.Now(), p.pace.mean) {
+			return true
+		}
+	}
+	return false
 }
 
 // PoolStatus describes one service for logs and metrics.
--- a/coordination/balancer/lease.go
+++ b/coordination/balancer/lease.go
@@ -61,8 +61,28 @@
 	l.read()
 	l.begun = true
 	l.seat.begun++
-	l.pool.broken = false
-	l.pool.pace.last = time.Now()
+	g := l.seat.group
+	g.begun++
+	g.broken, g.last = false, time.Now()
+}
+
+// Event tells the time between two events of the call's stream.
+func (l *Lease) Event(gap time.Duration) {
+	b := l.pool.owner
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := time.Now()
+	l.seat.group.last = now
+	l.pool.pace.observe(now, gap)
+}
+
+// Quiet returns how long no stream of the endpoint's group has gone on, so that a
+// silent endpoint can be told from a group that stands still.
+func (l *Lease) Quiet() (quiet time.Duration) {
+	b := l.pool.owner
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return time.Since(l.seat.group.last)
 }
 
 // read takes the prompt out of those that the endpoint has to read.
@@ -82,6 +102,7 @@
 	s.own--
 	if l.begun {
 		s.begun--
+		s.group.begun--
 	}
 	s.trying = false
 	l.pool.count(now)
@@ -89,12 +110,11 @@
 		s.chill(now, result.Cold)
 	}
 	if result.Kind == Declined && result.Blameless && l.pool.spec.Engine != nil {
-		l.pool.broken = true
-		l.pool.probed = now
+		s.group.broken, s.group.probed = true, now
 	}
 	// When a group of ranks stands still, all its streams are cut, whichever
 	// rank was lost.
-	if l.pool.spec.Engine != nil && l.pool.isSilent(now) {
+	if l.pool.spec.Engine != nil && s.group.isSilent(now, l.pool.pace.mean) {
 		result.Blameless = true
 	}
 	switch {
--- a/coordination/balancer/lost_test.go
+++ b/coordination/balancer/lost_test.go
@@ -114,3 +114,33 @@
 		is.True(again.Load() < refused.Load()/10)
 	})
 }
+
+// TestLostRankOfMany has one of four groups behind a service lose a rank. The others
+// go on: of its calls some are sent in vain to see whether it is open, and none is
+// refused.
+func TestLostRankOfMany(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		backends := endpoints("chat", 32, 12, "a")
+		for i := range backends {
+			backends[i].Group = banyanplank.GroupName([]string{"g0", "g1", "g2", "g3"}[i%4])
+		}
+		b := newTest(engine(12), backends, 1)
+		vain, served := 0, 0
+		for range 400 { // four seconds
+			lease, err := b.Acquire(t.Context(), Query{Service: "chat", Goal: 400 * time.Millisecond})
+			is.NoErr(err)
+			if lease.Backend.Group == "g2" {
+				lease.Finish(Result{Kind: Declined, Blameless: true})
+				vain++
+			} else {
+				lease.Begun()
+				lease.Finish(Result{Kind: Served})
+				served++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(vain <= 17) // one in each quarter of a second
+		is.True(served >= 383)
+	})
+}
--- a/coordination/balancer/pace.go
+++ b/coordination/balancer/pace.go
@@ -32,7 +32,6 @@
 	slots float64
 	limit float64
 	mean  time.Duration
-	last  time.Time
 	next  time.Time
 }
 
@@ -50,7 +49,6 @@
 
 // observe takes in the time between two events of a stream.
 func (c *pace) observe(now time.Time, gap time.Duration) {
-	c.last = now
 	if c.mean == 0 {
 		c.mean = gap
 	}
--- a/coordination/balancer/pool.go
+++ b/coordination/balancer/pool.go
@@ -79,13 +79,9 @@
 	finished float64
 	rate     float64
 	since    time.Time
-	// broken tells that a rank of the group was said to be lost, and probed
-	// when a call was last let through to try.
-	broken bool
-	probed time.Time
-	// opens is when the group is expected to open, if a rank came back while it
-	// stood still.
-	opens time.Time
+	// groups are those of the engines, by name. Plain endpoints share one without
+	// a name.
+	groups map[banyanplank.GroupName]*group
 }
 
 // waiter is a call that waits for a place.
@@ -102,6 +98,7 @@
 	return &pool{
 		owner:  owner,
 		seats:  make(map[banyanplank.BackendID]*seat),
+		groups: make(map[banyanplank.GroupName]*group),
 		budget: budget{share: owner.share, slack: float64(owner.slack), span: owner.span},
 		since:  now,
 	}
@@ -114,20 +111,26 @@
 	p.entries = entries
 	p.budget.slack = float64(p.owner.slack) / float64(entries)
 	p.pace.configure(spec.Engine)
-	listed := make(map[banyanplank.BackendID]bool)
+	listed, present := make(map[banyanplank.BackendID]bool), make(map[banyanplank.GroupName]bool)
 	for _, backend := range fleet.Backends {
 		if backend.Service != spec.Name {
 			continue
 		}
-		listed[backend.ID] = true
+		listed[backend.ID], present[backend.Group] = true, true
+		g := p.groups[backend.Group]
+		if g == nil {
+			g = &group{}
+			p.groups[backend.Group] = g
+		}
 		s := p.seats[backend.ID]
 		if s == nil || s.backend.Address != backend.Address || !s.backend.Born.Equal(backend.Born) {
-			s = newSeat(p)
+			s = newSeat(p, g)
 			p.seats[backend.ID] = s
-			if p.isDown(now) {
-				p.opens = now.Add(formTime)
+			if spec.Engine != nil && g.isDown(now, p.pace.mean) {
+				g.opens = now.Add(formTime)
 			}
 		}
+		s.join(g)
 		s.renew(now, backend, fleet.Out[backend.Zone], spec.ColdRate/float64(entries))
 	}
 	for id := range p.seats {
@@ -135,6 +138,7 @@
 			delete(p.seats, id)
 		}
 	}
+	maps.DeleteFunc(p.groups, func(name banyanplank.GroupName, _ *group) bool { return !present[name] })
 	p.order, p.near = p.order[:0], 0
 	for _, id := range slices.Sorted(maps.Keys(p.seats)) {
 		s := p.seats[id]
@@ -163,17 +167,17 @@
 	if len(query.Avoid) == 0 {
 		p.budget.fresh(now)
 	}
-	if p.isDown(now) && now.Sub(p.probed) < probePause {
-		return nil, nil, refuse(banyanplank.ReasonNoEndpoint, p.retryBroken(now), "the group of ranks stands still")
-	}
-	p.probed = now
 	if len(p.waiting) == 0 {
 		if s := p.choose(now, query); s != nil {
 			return p.grant(now, s, query), nil, nil
 		}
 	}
 	if !p.isUsable(now, query) {
-		return nil, nil, refuse(banyanplank.ReasonNoEndpoint, p.retryBroken(now), "no endpoint can take the call")
+		reason := "no endpoint can take the call"
+		if p.isDown(now) {
+			reason = "the group of ranks stands still"
+		}
+		return nil, nil, refuse(banyanplank.ReasonNoEndpoint, p.retryBroken(now), reason)
 	}
 	patience := time.Duration(float64(query.Goal) * waitShare)
 	if p.expectedWait() > patience {
@@ -206,7 +210,7 @@
 
 // retryBroken returns when a call that finds no endpoint should return.
 func (p *pool) retryBroken(now time.Time) (after time.Duration) {
-	if left := p.opens.Sub(now); left > 0 {
+	if left, known := p.opens(now); known {
 		return left + time.Duration(p.owner.random.Int64N(int64(retryLeast)))
 	}
 	if p.spec.Engine != nil {
@@ -221,37 +225,10 @@
 	return soonest + time.Duration(p.owner.random.Int64N(int64(retryLeast)))
 }
 
-// isDown reports whether the group of ranks behind the service stands still: one
-// was said to be lost, or no stream goes on.
-func (p *pool) isDown(now time.Time) bool {
-	if p.spec.Engine == nil {
-		return false
-	}
-	return p.broken || (p.streams() >= leastStreams && p.isSilent(now))
-}
-
-// streams counts the calls that have their first event.
-func (p *pool) streams() (count int) {
-	for _, s := range p.order {
-		count += s.begun
-	}
-	return count
-}
-
-// stands reports whether the streams have stood still for some passes.
-func (p *pool) stands(now time.Time) bool {
-	return p.streams() >= leastStreams && now.Sub(p.pace.last) > max(standstill, standPasses*p.pace.mean)
-}
-
-// isSilent reports whether no stream has gone on for long.
-func (p *pool) isSilent(now time.Time) bool {
-	return now.Sub(p.pace.last) > max(silence, silentPasses*p.pace.mean)
-}
-
 // isUsable reports whether some endpoint could take the call once it has room.
 func (p *pool) isUsable(now time.Time, query Query) bool {
 	for _, s := range p.order {
-		if s.isUsable(now) && !slices.Contains(query.Avoid, s.backend.ID) {
+		if s.isUsable(now) && !s.isBarred(now) && !slices.Contains(query.Avoid, s.backend.ID) {
 			return true
 		}
 	}
@@ -270,7 +247,7 @@
 		if !s.isUsable(now) || s.held()+1 > p.limit(s)+0.5 || !s.hasRate(now) || slices.Contains(query.Avoid, s.backend.ID) {
 			continue
 		}
-		if s.isSlow(now) && !slow {
+		if s.isBarred(now) || (s.isSlow(now) && !slow) {
 			continue
 		}
 		if cost := s.cost(now, p.owner); best == nil || cost < lowest {
--- a/coordination/balancer/seat.go
+++ b/coordination/balancer/seat.go
@@ -35,6 +35,7 @@
 // seat is what an entry knows of one endpoint.
 type seat struct {
 	pool    *pool
+	group   *group
 	backend *banyanplank.Backend
 	// out tells that the endpoint's zone is out of service.
 	out bool
@@ -59,7 +60,14 @@
 }
 
 // newSeat returns a seat that nothing is known of.
-func newSeat(p *pool) *seat { return &seat{pool: p} }
+func newSeat(p *pool, g *group) *seat { return &seat{pool: p, group: g} }
+
+// join moves the endpoint to the group that it is listed in.
+func (s *seat) join(g *group) {
+	s.group.begun -= s.begun
+	s.group = g
+	s.group.begun += s.begun
+}
 
 // renew takes in what the platform lists.
 func (s *seat) renew(now time.Time, backend banyanplank.Backend, out bool, coldRate float64) {
@@ -141,6 +149,7 @@
 
 // begin notes a call that is sent.
 func (s *seat) begin(now time.Time, query Query) {
+	s.group.probed = now
 	s.own++
 	s.unread += query.Prompt
 	if s.streak > 0 {
--- /dev/null
+++ b/coordination/stepper/groups_test.go
@@ -0,0 +1,66 @@
+package stepper
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// pair is the ranks of two groups behind one service.
+type pair map[banyanplank.GroupName]*world
+
+func (p pair) Report(ctx context.Context, b *banyanplank.Backend) (banyanplank.RankReport, error) {
+	return p[b.Group].Report(ctx, b)
+}
+
+func (p pair) Counts(ctx context.Context, b *banyanplank.Backend) (banyanplank.RankCounts, error) {
+	return p[b.Group].Counts(ctx, b)
+}
+
+func (p pair) Places(ctx context.Context, b *banyanplank.Backend) (banyanplank.RankPlaces, error) {
+	return p[b.Group].Places(ctx, b)
+}
+
+func (p pair) Order(ctx context.Context, b *banyanplank.Backend, order banyanplank.RankOrder) error {
+	return p[b.Group].Order(ctx, b, order)
+}
+
+// TestTwoGroups has two groups of ranks behind one service, with demands of their
+// own. Both are kept even.
+func TestTwoGroups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		worlds := pair{"g0": newWorld(16, 4, 64, 5, 1), "g1": newWorld(16, 4, 64, 5, 2)}
+		table, _, _ := worlds["g0"].fleet(always)()
+		var backends []banyanplank.Backend
+		for _, name := range []banyanplank.GroupName{"g0", "g1"} {
+			for _, b := range worlds[name].backends {
+				b.Group, b.ID = name, banyanplank.BackendID(name)+"-"+b.ID
+				backends = append(backends, b)
+			}
+		}
+		s := New(worlds, func() (*banyanplank.RoutingTable, []banyanplank.Backend, Duty) {
+			return table, append([]banyanplank.Backend(nil), backends...), Lead
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		var work conc.WaitGroup
+		for _, w := range worlds {
+			work.Go(func() { w.run(ctx) })
+		}
+		work.Go(func() { _ = s.Run(ctx) })
+		work.Wait()
+		for _, w := range worlds {
+			w.late.Wait()
+			is.Equal(w.mixed, 0)
+			is.True(w.changes >= 16)
+			is.True(w.skew() < 1.6)
+		}
+	})
+}
--- a/coordination/stepper/stepper.go
+++ b/coordination/stepper/stepper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -100,7 +101,13 @@
 	note     func(n Note)
 	slow     func(service banyanplank.ServiceName, endpoints []banyanplank.BackendID)
 	standing func(service banyanplank.ServiceName) bool
-	terms    map[banyanplank.ServiceName]*term
+	terms    map[ensemble]*term
+}
+
+// ensemble names a group of ranks.
+type ensemble struct {
+	service banyanplank.ServiceName
+	group   banyanplank.GroupName
 }
 
 // term is what is known of a group in one epoch.
@@ -113,6 +120,8 @@
 	step   uint64
 	at     time.Time
 	pass   time.Duration
+	// slow lists the endpoints that hold up the group.
+	slow []banyanplank.BackendID
 }
 
 // New returns a stepper for the groups of fleet.
@@ -124,7 +133,7 @@
 		note:     func(Note) {},
 		slow:     func(banyanplank.ServiceName, []banyanplank.BackendID) {},
 		standing: func(banyanplank.ServiceName) bool { return false },
-		terms:    make(map[banyanplank.ServiceName]*term),
+		terms:    make(map[ensemble]*term),
 	}
 	for _, option := range options {
 		option(s)
@@ -151,25 +160,46 @@
 			if pool.Engine == nil || pool.Engine.Layers == 0 {
 				continue
 			}
-			work := func() error { return s.round(ctx, pool, table.GapOf(pool.Name), backends) }
-			if duty == Standby {
-				work = func() error { return s.relieve(ctx, pool.Name, backends) }
-			}
-			if err := work(); err != nil && ctx.Err() == nil {
-				s.note(Note{Event: "round failed", Service: pool.Name, Err: err})
+			for _, ranks := range groupsOf(pool.Name, backends) {
+				err := s.tend(ctx, duty, pool, table.GapOf(pool.Name), ranks)
+				if err != nil && ctx.Err() == nil {
+					s.note(Note{Event: "round failed", Service: pool.Name, Err: err})
+				}
 			}
 		}
 	}
 	return nil
 }
 
+// tend does the duty of this entry for one group.
+func (s *Stepper) tend(ctx context.Context, duty Duty, pool *banyanplank.PoolSpec, gap time.Duration, ranks []banyanplank.Backend) (err error) {
+	if duty == Standby {
+		return s.relieve(ctx, pool.Name, ranks)
+	}
+	return s.round(ctx, pool, gap, ranks)
+}
+
+// groupsOf returns the endpoints of a service by their groups, which are not empty.
+func groupsOf(service banyanplank.ServiceName, all []banyanplank.Backend) (groups [][]banyanplank.Backend) {
+	byName := make(map[banyanplank.GroupName][]banyanplank.Backend)
+	for _, b := range all {
+		if b.Service == service {
+			byName[b.Group] = append(byName[b.Group], b)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		groups = append(groups, byName[name])
+	}
+	return groups
+}
+
 // relieve finishes the switch of the entry that leads, if the group stands still
 // before a pass that it has held. Two entries may do so at once.
-func (s *Stepper) relieve(ctx context.Context, service banyanplank.ServiceName, all []banyanplank.Backend) (err error) {
+func (s *Stepper) relieve(ctx context.Context, service banyanplank.ServiceName, ranks []banyanplank.Backend) (err error) {
 	if !s.standing(service) {
 		return nil
 	}
-	g, err := s.gather(ctx, service, all)
+	g, err := s.gather(ctx, ranks)
 	if err != nil || !g.isOverdue() {
 		return err
 	}
@@ -180,13 +210,14 @@
 }
 
 // round looks at one group, and brings a better map into use if there is one.
-func (s *Stepper) round(ctx context.Context, pool *banyanplank.PoolSpec, gap time.Duration, all []banyanplank.Backend) (err error) {
-	g, err := s.gather(ctx, pool.Name, all)
+func (s *Stepper) round(ctx context.Context, pool *banyanplank.PoolSpec, gap time.Duration, ranks []banyanplank.Backend) (err error) {
+	g, err := s.gather(ctx, ranks)
 	if err != nil {
 		return err
 	}
-	t := s.term(pool, g)
-	s.slow(pool.Name, g.slow())
+	name := ensemble{pool.Name, ranks[0].Group}
+	t := s.term(name, pool, g)
+	s.noteSlow(name, g.slow())
 	if err := g.settle(ctx); err != nil {
 		return err
 	}
@@ -204,20 +235,17 @@
 }
 
 // gather finds the ranks of the group in their order.
-func (s *Stepper) gather(ctx context.Context, service banyanplank.ServiceName, all []banyanplank.Backend) (g *group, err error) {
+func (s *Stepper) gather(ctx context.Context, ranks []banyanplank.Backend) (g *group, err error) {
 	g = &group{ranks: s.ranks}
 	type seen struct {
 		backend *banyanplank.Backend
 		report  banyanplank.RankReport
 	}
 	work := pool.NewWithResults[seen]().WithErrors()
-	for i := range all {
-		if all[i].Service != service {
-			continue
-		}
+	for i := range ranks {
 		work.Go(func() (found seen, err error) {
-			found.backend = &all[i]
-			found.report, err = s.ranks.Report(ctx, &all[i])
+			found.backend = &ranks[i]
+			found.report, err = s.ranks.Report(ctx, &ranks[i])
 			return found, err
 		})
 	}
@@ -241,16 +269,16 @@
 }
 
 // term returns what is known of the group, which is nothing in a new epoch.
-func (s *Stepper) term(pool *banyanplank.PoolSpec, g *group) (t *term) {
+func (s *Stepper) term(name ensemble, pool *banyanplank.PoolSpec, g *group) (t *term) {
 	now, step := time.Now(), g.step()
-	t = s.terms[pool.Name]
+	t = s.terms[name]
 	if t == nil || t.epoch != g.epoch {
 		last := banyanplank.MapID(0)
 		if t != nil {
 			last = t.last
 		}
 		t = &term{epoch: g.epoch, last: last, demand: newDemand(pool.Engine.Layers, pool.Engine.Experts)}
-		s.terms[pool.Name] = t
+		s.terms[name] = t
 	} else if step > t.step {
 		t.pass = now.Sub(t.at) / time.Duration(step-t.step)
 	}
@@ -318,6 +346,20 @@
 	return err
 }
 
+// noteSlow tells which endpoints of a service hold up their groups, of which one was
+// looked at.
+func (s *Stepper) noteSlow(name ensemble, endpoints []banyanplank.BackendID) {
+	s.terms[name].slow = endpoints
+	var all []banyanplank.BackendID
+	for other, t := range s.terms {
+		if other.service == name.service {
+			all = append(all, t.slow...)
+		}
+	}
+	slices.Sort(all)
+	s.slow(name.service, all)
+}
+
 // slow returns the endpoints that hold up the group.
 func (g *group) slow() (endpoints []banyanplank.BackendID) {
 	for i, out := range slowRanks(paces(g.reports)) {
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -196,7 +196,7 @@
 		return false
 	}
 	if f.route.Kind == banyanplank.RouteStream {
-		return f.gateway.balancer.Alive(f.service) < aliveAge
+		return f.lease.Quiet() < aliveAge
 	}
 	return true
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -145,7 +145,7 @@
 	if f.stream.at.IsZero() {
 		f.lease.Begun()
 	} else {
-		f.gateway.balancer.Observe(f.service, now.Sub(f.stream.at))
+		f.lease.Event(now.Sub(f.stream.at))
 	}
 	f.stream.at = now
 	return fresh
