--- a/soak/checks.go
+++ b/soak/checks.go
@@ -125,7 +125,7 @@
 	return p
 }
 
-// checkClaims checks evacuations, leaving servers and revoked keys.
+// checkClaims checks that what operators took out of service gets no calls.
 func (w *world) checkClaims(runs []mimic.Run) (p Promise) {
 	p.Name = "zones out of service, leaving servers and revoked keys get no calls"
 	for _, c := range w.claims {
