Test without sleeping outside a bubble

Change: the tests wait for what they mean: bytes that have arrived on an unused connection, the requester having asked, the caller having given up.

--- a/transport/requester/requester_test.go
+++ b/transport/requester/requester_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -137,6 +139,27 @@
 	is.True(!failure.Sent) // nothing was sent, so the call may go elsewhere
 }
 
+// awaitNews waits until something has arrived on each unused connection, bytes or its
+// end, and leaves it there.
+func awaitNews(t *testing.T, r *Requester) {
+	t.Helper()
+	for _, kept := range r.kept {
+		for _, c := range kept {
+			raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+			if err != nil {
+				t.Fatal(err)
+			}
+			err = raw.Read(func(fd uintptr) (done bool) {
+				_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+				return !errors.Is(err, syscall.EAGAIN)
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
 // TestKept has a connection serve again only when nothing but the answer came.
 func TestKept(t *testing.T) {
 	two := func(conn net.Conn, reader *bufio.Reader) {
@@ -147,21 +170,23 @@
 		answer(whole("c1")+whole("c1"))(conn, reader)
 		_, _ = reader.ReadByte()
 	}
+	got := make(chan struct{})
 	later := func(conn net.Conn, reader *bufio.Reader) {
 		answer(whole("c1"))(conn, reader)
-		time.Sleep(20 * time.Millisecond)
+		<-got
 		_, _ = io.WriteString(conn, whole("c1"))
 		_, _ = reader.ReadByte()
 	}
 	tests := map[string]struct {
 		scripts []func(conn net.Conn, reader *bufio.Reader)
 		fresh   time.Duration
+		news    bool // something comes after the first answer
 	}{
 		"serves again":        {scripts: []func(net.Conn, *bufio.Reader){two}},
-		"a second answer":     {scripts: []func(net.Conn, *bufio.Reader){extra, answer(whole("c2"))}},
-		"a later answer":      {scripts: []func(net.Conn, *bufio.Reader){later, answer(whole("c2"))}},
-		"closed meanwhile":    {scripts: []func(net.Conn, *bufio.Reader){answer(whole("c1")), answer(whole("c2"))}},
-		"too long out of use": {scripts: []func(net.Conn, *bufio.Reader){two, answer(whole("c2"))}, fresh: time.Millisecond},
+		"a second answer":     {scripts: []func(net.Conn, *bufio.Reader){extra, answer(whole("c2"))}, news: true},
+		"a later answer":      {scripts: []func(net.Conn, *bufio.Reader){later, answer(whole("c2"))}, news: true},
+		"closed meanwhile":    {scripts: []func(net.Conn, *bufio.Reader){answer(whole("c1")), answer(whole("c2"))}, news: true},
+		"too long out of use": {scripts: []func(net.Conn, *bufio.Reader){two, answer(whole("c2"))}, fresh: time.Nanosecond},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -169,7 +194,12 @@
 			r, backend := New(dialect{}), endpoint(t, test.scripts...)
 			_, err := get(t.Context(), r, backend, call("c1"))
 			is.NoErr(err)
-			time.Sleep(50 * time.Millisecond)
+			if name == "a later answer" {
+				close(got)
+			}
+			if test.news {
+				awaitNews(t, r)
+			}
 			second := call("c2")
 			second.Fresh = test.fresh
 			body, err := get(t.Context(), r, backend, second)
@@ -201,18 +231,24 @@
 	}
 }
 
-// TestSilent has a silent endpoint be left when asked, and waited for otherwise.
+// TestSilent has a silent endpoint be left when asked, and waited for otherwise. It
+// answers once the requester has asked.
 func TestSilent(t *testing.T) {
-	slow := func(conn net.Conn, reader *bufio.Reader) {
-		_, _ = http.ReadRequest(reader)
-		time.Sleep(150 * time.Millisecond)
-		_, _ = io.WriteString(conn, whole("c1"))
-	}
 	for name, leaves := range map[string]bool{"left": true, "waited for": false} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
+			asked := make(chan struct{})
+			slow := func(conn net.Conn, reader *bufio.Reader) {
+				_, _ = http.ReadRequest(reader)
+				<-asked
+				_, _ = io.WriteString(conn, whole("c1"))
+			}
 			c := call("c1")
-			c.Patience, c.GiveUp = 40*time.Millisecond, func() bool { return leaves }
+			c.Patience = 40 * time.Millisecond
+			c.GiveUp = sync.OnceValue(func() bool {
+				close(asked)
+				return leaves
+			})
 			_, err := get(t.Context(), New(dialect{}), endpoint(t, slow), c)
 			is.Equal(errors.Is(err, ErrSilent), leaves)
 			is.Equal(err != nil, leaves)
