Split the daemon and the stepper into files

Change: moves only. gateway: beat.go, slow.go, serve.go; stepper: options.go, term.go, slow.go, group.go.

--- /dev/null
+++ b/coordination/stepper/group.go
@@ -0,0 +1,170 @@
+package stepper
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// group is the ranks of a group, in order, as last reported.
+type group struct {
+	ranks    banyanplank.Ranks
+	backends []*banyanplank.Backend
+	reports  []banyanplank.RankReport
+	epoch    uint64
+	// pass is how long a pass takes.
+	pass time.Duration
+	// lossy tells that some order has got no answer, and lost which part of the
+	// latest orders has not.
+	lossy bool
+	lost  float64
+}
+
+// refresh reads the reports of all ranks. The error is errMoved when they don't
+// form one open group of the known epoch.
+func (g *group) refresh(ctx context.Context) (err error) {
+	reports := make([]banyanplank.RankReport, len(g.backends))
+	work := pool.New().WithErrors()
+	for i, b := range g.backends {
+		work.Go(func() (err error) {
+			reports[i], err = g.ranks.Report(ctx, b)
+			return err
+		})
+	}
+	if err := work.Wait(); err != nil {
+		return err
+	}
+	g.reports = reports
+	for i, r := range reports {
+		if !r.Open || r.Epoch != g.epoch || r.Rank != i {
+			return errMoved
+		}
+	}
+	return nil
+}
+
+// step returns the latest pass that some rank has begun.
+func (g *group) step() (step uint64) {
+	for _, r := range g.reports {
+		step = max(step, r.Step)
+	}
+	return step
+}
+
+// all gives orders to the ranks that pending selects, again and again, until a
+// report shows that none is left or limit has passed.
+func (g *group) all(ctx context.Context, order banyanplank.RankOrder, limit time.Duration, pending func(r banyanplank.RankReport) bool) (err error) {
+	return g.allOf(ctx, order, g.backends, limit, pending)
+}
+
+// allOf is all for some of the ranks to begin with.
+func (g *group) allOf(ctx context.Context, order banyanplank.RankOrder, left []*banyanplank.Backend, limit time.Duration, pending func(r banyanplank.RankReport) bool) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		left = g.give(ctx, order, left)
+		switch {
+		case order.Kind != banyanplank.RankPrepare && len(left) == 0:
+			return nil
+		case order.Kind == banyanplank.RankPrepare && g.lost > 0 && g.expectsTry():
+			return errLate
+		}
+		if err := g.refresh(ctx); err != nil && (errors.Is(err, errMoved) || ctx.Err() != nil) {
+			return err
+		}
+		left = nil
+		for i, r := range g.reports {
+			if pending(r) {
+				left = append(left, g.backends[i])
+			}
+			if isSuperseded(order, r, pending(r)) {
+				return errSuperseded
+			}
+		}
+		if len(left) == 0 {
+			return nil
+		}
+		if err := wait(ctx, retryPause); err != nil {
+			return err
+		}
+	}
+}
+
+// isSuperseded reports whether a rank shows that another entry is switching too.
+// The round ends then, and the next one settles what was left. A pass that was
+// held for the order itself is no such sign.
+func isSuperseded(order banyanplank.RankOrder, r banyanplank.RankReport, pending bool) bool {
+	switch order.Kind {
+	case banyanplank.RankPrepare:
+		return r.Armed != 0 || (r.Held != 0 && r.Held != order.Step)
+	case banyanplank.RankArm:
+		return pending && r.Prepared != order.Map
+	default:
+		return false
+	}
+}
+
+// isArmed reports whether a map will come into use at a pass ahead.
+func (g *group) isArmed() bool {
+	for _, r := range g.reports {
+		if r.Armed != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// isOverdue reports whether the next pass is held.
+func (g *group) isOverdue() bool {
+	for _, r := range g.reports {
+		if r.Held == g.step()+1 {
+			return true
+		}
+	}
+	return false
+}
+
+// give gives an order to several ranks and returns those that have not accepted it.
+func (g *group) give(ctx context.Context, order banyanplank.RankOrder, to []*banyanplank.Backend) (left []*banyanplank.Backend) {
+	failed := make([]error, len(to))
+	work := pool.New()
+	for i, b := range to {
+		work.Go(func() { failed[i] = g.ranks.Order(ctx, b, order) })
+	}
+	work.Wait()
+	lost := 0
+	for i, b := range to {
+		if failed[i] != nil {
+			left = append(left, b)
+		}
+		if errors.Is(failed[i], banyanplank.ErrUncertain) {
+			lost++
+		}
+	}
+	if len(to) > 0 {
+		g.lost = float64(lost) / float64(len(to))
+	}
+	g.lossy = g.lossy || lost > 0
+	return left
+}
+
+// expectsTry reports whether another map is likely prepared at all ranks before
+// the late orders for this one are carried out.
+func (g *group) expectsTry() bool {
+	return g.lost <= retryShare && math.Pow(1-g.lost, float64(len(g.backends))) > 1.0/prepareTries
+}
+
+// wait pauses.
+func wait(ctx context.Context, pause time.Duration) (err error) {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(pause):
+		return nil
+	}
+}
--- a/coordination/stepper/stepper.go
+++ b/coordination/stepper/stepper.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -29,69 +28,6 @@
 	lookInterval = 100 * time.Millisecond
 )
 
-// Duty is what an entry does for the groups of ranks.
-type Duty uint8
-
-// The duties.
-const (
-	// Idle entries do nothing.
-	Idle Duty = iota
-	// Standby is the duty of the entry that leads next: it releases a pass that the
-	// one that leads has left held.
-	Standby
-	// Lead is the duty of the one entry that plans.
-	Lead
-)
-
-// Fleet returns the routes and endpoints as now known, and the duty of this entry.
-// The table is nil when none is known.
-type Fleet func() (table *banyanplank.RoutingTable, backends []banyanplank.Backend, duty Duty)
-
-// Note is a decision of a stepper, for the log.
-type Note struct {
-	Event   string
-	Service banyanplank.ServiceName
-	Epoch   uint64
-	Map     banyanplank.MapID
-	Step    uint64
-	// Before and After are the skew of the map in use and of the planned one.
-	Before float64
-	After  float64
-	Took   time.Duration
-	Err    error
-}
-
-// Option configures a [Stepper].
-type Option func(*Stepper)
-
-// WithInterval sets the time between two looks at the demand. The default is
-// [DefaultInterval].
-func WithInterval(interval time.Duration) Option {
-	return func(s *Stepper) { s.interval = interval }
-}
-
-// WithNotes calls note for each decision. The default drops them.
-func WithNotes(note func(n Note)) Option {
-	return func(s *Stepper) { s.note = note }
-}
-
-// WithZone reads counts from the ranks of zone first. The default is none.
-func WithZone(zone banyanplank.Zone) Option {
-	return func(s *Stepper) { s.zone = zone }
-}
-
-// WithSlow calls slow in each round with the endpoints that hold up their group.
-// The default does nothing.
-func WithSlow(slow func(service banyanplank.ServiceName, endpoints []banyanplank.BackendID)) Option {
-	return func(s *Stepper) { s.slow = slow }
-}
-
-// WithStanding asks standing whether the streams of a service have stood still for
-// some passes. Use it where others may lead too. The default is that they never do.
-func WithStanding(standing func(service banyanplank.ServiceName) bool) Option {
-	return func(s *Stepper) { s.standing = standing }
-}
-
 // Stepper keeps groups of ranks even. Run it once.
 type Stepper struct {
 	ranks    banyanplank.Ranks
@@ -104,26 +40,6 @@
 	terms    map[ensemble]*term
 }
 
-// ensemble names a group of ranks.
-type ensemble struct {
-	service banyanplank.ServiceName
-	group   banyanplank.GroupName
-}
-
-// term is what is known of a group in one epoch.
-type term struct {
-	epoch  uint64
-	demand *demand
-	places places
-	id     banyanplank.MapID
-	last   banyanplank.MapID
-	step   uint64
-	at     time.Time
-	pass   time.Duration
-	// slow lists the endpoints that hold up the group.
-	slow []banyanplank.BackendID
-}
-
 // New returns a stepper for the groups of fleet.
 func New(ranks banyanplank.Ranks, fleet Fleet, options ...Option) *Stepper {
 	s := &Stepper{
@@ -268,116 +184,6 @@
 	return g, nil
 }
 
-// term returns what is known of the group, which is nothing in a new epoch.
-func (s *Stepper) term(name ensemble, pool *banyanplank.PoolSpec, g *group) (t *term) {
-	now, step := time.Now(), g.step()
-	t = s.terms[name]
-	if t == nil || t.epoch != g.epoch {
-		last := banyanplank.MapID(0)
-		if t != nil {
-			last = t.last
-		}
-		t = &term{epoch: g.epoch, last: last, demand: newDemand(pool.Engine.Layers, pool.Engine.Experts)}
-		s.terms[name] = t
-	} else if step > t.step {
-		t.pass = now.Sub(t.at) / time.Duration(step-t.step)
-	}
-	t.step, t.at = step, now
-	g.pass = t.pass
-	for _, r := range g.reports {
-		t.last = max(t.last, r.Map, r.Prepared, r.Armed)
-	}
-	return t
-}
-
-// learn reads the demand, and the map in use if it isn't known.
-func (s *Stepper) learn(ctx context.Context, t *term, g *group) (err error) {
-	if t.places == nil || t.id != g.reports[0].Map {
-		if err := s.learnPlaces(ctx, t, g); err != nil {
-			return err
-		}
-	}
-	asked := s.sample(t, g)
-	counts := make([]banyanplank.RankCounts, len(asked))
-	work := pool.New().WithErrors()
-	for i, b := range asked {
-		work.Go(func() (err error) {
-			counts[i], err = s.ranks.Counts(ctx, b)
-			return err
-		})
-	}
-	if err := work.Wait(); err != nil {
-		return err
-	}
-	for i, c := range counts {
-		t.demand.add(asked[i].ID, c)
-	}
-	t.demand.turn(time.Now())
-	return nil
-}
-
-// sample returns the ranks whose counts are read: all of a small group. Calls are
-// spread evenly, so that some ranks of a large one tell the demand of all, those
-// of the own zone first.
-func (s *Stepper) sample(t *term, g *group) (asked []*banyanplank.Backend) {
-	asked = slices.Clone(g.backends)
-	slices.SortStableFunc(asked, func(a, b *banyanplank.Backend) int {
-		return s.distance(a) - s.distance(b)
-	})
-	numbers := max(1, len(t.demand.weight)*t.demand.experts)
-	return asked[:min(len(asked), max(leastSample, mostNumbers/numbers))]
-}
-
-// distance returns 0 for an endpoint of the own zone and 1 for others.
-func (s *Stepper) distance(b *banyanplank.Backend) (far int) {
-	if b.Zone == s.zone {
-		return 0
-	}
-	return 1
-}
-
-// learnPlaces reads the map in use from all ranks.
-func (s *Stepper) learnPlaces(ctx context.Context, t *term, g *group) (err error) {
-	t.places, err = g.places(ctx)
-	if err == nil && len(t.places) != len(t.demand.weight) {
-		err = errors.Newf("the map has %d layers, declared are %d", len(t.places), len(t.demand.weight))
-	}
-	t.id = g.reports[0].Map
-	return err
-}
-
-// noteSlow tells which endpoints of a service hold up their groups, of which one was
-// looked at.
-func (s *Stepper) noteSlow(name ensemble, endpoints []banyanplank.BackendID) {
-	s.terms[name].slow = endpoints
-	var all []banyanplank.BackendID
-	for other, t := range s.terms {
-		if other.service == name.service {
-			all = append(all, t.slow...)
-		}
-	}
-	slices.Sort(all)
-	s.slow(name.service, all)
-}
-
-// slow returns the endpoints that hold up the group.
-func (g *group) slow() (endpoints []banyanplank.BackendID) {
-	for i, out := range slowRanks(paces(g.reports)) {
-		if out {
-			endpoints = append(endpoints, g.backends[i].ID)
-		}
-	}
-	return endpoints
-}
-
-// paces returns how much slower than usual each rank is.
-func paces(reports []banyanplank.RankReport) (all []float64) {
-	for _, r := range reports {
-		all = append(all, r.Pace)
-	}
-	return all
-}
-
 // change brings a planned map into use.
 func (s *Stepper) change(ctx context.Context, service banyanplank.ServiceName, t *term, g *group, p plan) (err error) {
 	began := time.Now()
@@ -401,14 +207,3 @@
 	s.note(Note{Event: "map switch", Service: service, Epoch: g.epoch, Map: id, Step: g.step(), Before: p.before, After: p.after, Took: time.Since(began), Err: err})
 	return nil
 }
-
-// next returns the id of the next map.
-func (t *term) next() (id banyanplank.MapID) {
-	t.last = nextID(t.last)
-	return t.last
-}
-
-// nextID returns an id above last that no other entry draws.
-func nextID(last banyanplank.MapID) (id banyanplank.MapID) {
-	return (last>>leadBits+1)<<leadBits | banyanplank.MapID(rand.N(1<<leadBits))
-}
