Tell of slow ranks by service and for listed groups only

Cause: found on reading the change. What the entry that plans says of slow ranks was one list: a second service with groups replaced the first one's with its own. And with several groups, what was said of a group stayed when it was listed under another name.

Change: the daemon keeps a word for each service, and the stepper drops what it knows of groups that are no longer listed.

--- a/coordination/stepper/stepper.go
+++ b/coordination/stepper/stepper.go
@@ -76,7 +76,9 @@
 			if pool.Engine == nil || pool.Engine.Layers == 0 {
 				continue
 			}
-			for _, ranks := range groupsOf(pool.Name, backends) {
+			groups := groupsOf(pool.Name, backends)
+			s.forget(pool.Name, groups)
+			for _, ranks := range groups {
 				err := s.tend(ctx, duty, pool, table.GapOf(pool.Name), ranks)
 				if err != nil && ctx.Err() == nil {
 					s.note(Note{Event: "round failed", Service: pool.Name, Err: err})
--- a/coordination/stepper/term.go
+++ b/coordination/stepper/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -32,6 +33,14 @@
 	slow []banyanplank.BackendID
 }
 
+// forget drops what is known of groups of a service that are no longer listed.
+func (s *Stepper) forget(service banyanplank.ServiceName, groups [][]banyanplank.Backend) {
+	maps.DeleteFunc(s.terms, func(name ensemble, _ *term) (gone bool) {
+		isIt := func(ranks []banyanplank.Backend) bool { return ranks[0].Group == name.group }
+		return name.service == service && !slices.ContainsFunc(groups, isIt)
+	})
+}
+
 // term returns what is known of the group, which is nothing in a new epoch.
 func (s *Stepper) term(name ensemble, pool *banyanplank.PoolSpec, g *group) (t *term) {
 	now, step := time.Now(), g.step()
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -33,7 +33,7 @@
 	follower  *follower.Follower
 	relay     *relay
 	beats     atomic.Uint64
-	slow      atomic.Pointer[slowWord]
+	slow      slowWords
 	directory http.Handler
 	ready     http.Handler
 }
