Keep one copy of each pause, refusal and search for a port

Cause: the listing of duplicates showed six functions that wait or end with a context, two that make a refusal of any error, five getters of one shape, and a search for free ports in the soak beside standin/loopback.

Change: banyanplank.Pause and banyanplank.AsRefusal serve all; the getters share one body; the soak takes its addresses from standin/loopback, which gives each process hosts of its own. Work of the soak's stand-ins ends with its context.

--- a/coordination/accepter/accepter.go
+++ b/coordination/accepter/accepter.go
@@ -102,7 +102,7 @@
 			return configuration, err
 		}
 		// A sweep removed a shard: a newer root has replaced this one.
-		if err = pause(ctx, firstBackoff); err != nil {
+		if err = banyanplank.Pause(ctx, firstBackoff); err != nil {
 			return nil, err
 		}
 	}
@@ -208,24 +208,12 @@
 		if err == nil || errors.Is(err, banyanplank.ErrNotFound) {
 			return object, err
 		}
-		if pause(ctx, backoff) != nil {
+		if banyanplank.Pause(ctx, backoff) != nil {
 			return banyanplank.Object{}, err
 		}
 	}
 }
 
-// pause waits for the given time or until ctx ends.
-func pause(ctx context.Context, backoff time.Duration) (err error) {
-	timer := time.NewTimer(backoff)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // pastName returns the name of the object that holds the root of an earlier
 // revision.
 func pastName(revision banyanplank.Revision) (name string) {
--- a/coordination/flusher/flusher.go
+++ b/coordination/flusher/flusher.go
@@ -116,7 +116,7 @@
 	}
 	f.swept = time.Now()
 	wait := f.firstWait()
-	for sleep(ctx, wait) {
+	for banyanplank.Pause(ctx, wait) == nil {
 		if errors.Is(f.Flush(ctx), ErrSuperseded) {
 			return
 		}
@@ -142,7 +142,7 @@
 			return true
 		}
 		f.failed(err)
-		if errors.Is(err, ErrSuperseded) || !sleep(ctx, restoreInterval) {
+		if errors.Is(err, ErrSuperseded) || banyanplank.Pause(ctx, restoreInterval) != nil {
 			return false
 		}
 	}
@@ -248,15 +248,3 @@
 		f.failed(err)
 	}
 }
-
-// sleep waits and reports false when ctx ends first.
-func sleep(ctx context.Context, wait time.Duration) (ok bool) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/coordination/forwarder/flow.go
+++ b/coordination/forwarder/flow.go
@@ -142,7 +142,7 @@
 		if err == nil {
 			return nil
 		}
-		l.countOut(asRefusal(err))
+		l.countOut(banyanplank.AsRefusal(err))
 		l.query.Avoid = append(l.query.Avoid, l.member.ID)
 		l.member = banyanplank.Member{}
 	}
@@ -176,13 +176,13 @@
 
 // neverSent reports whether the opener sent nothing.
 func neverSent(err error) bool {
-	refusal := asRefusal(err)
+	refusal := banyanplank.AsRefusal(err)
 	return refusal.Reason == banyanplank.ReasonUnreachable && refusal.Outcome == banyanplank.NotRun
 }
 
 // promised reports whether the agent has promised never to run the request.
 func promised(err error) bool {
-	refusal := asRefusal(err)
+	refusal := banyanplank.AsRefusal(err)
 	return refusal.Reason != banyanplank.ReasonUnreachable && refusal.Outcome == banyanplank.NotRun
 }
 
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -7,8 +7,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/claimer"
 	"github.com/banyanplank/banyanplank/coordination/retrier"
@@ -202,15 +200,3 @@
 		Nonce:       nonce,
 	}, nil
 }
-
-// asRefusal returns the refusal in err.
-func asRefusal(err error) (refusal *banyanplank.Refusal) {
-	if errors.As(err, &refusal) {
-		return refusal
-	}
-	return &banyanplank.Refusal{
-		Outcome: banyanplank.OutcomeUnknown,
-		Reason:  banyanplank.ReasonEndpoint,
-		Detail:  err.Error(),
-	}
-}
--- a/coordination/forwarder/settle.go
+++ b/coordination/forwarder/settle.go
@@ -14,7 +14,7 @@
 // settle follows the arbiter after a failure. Without an error the caller goes
 // on with begin; the error is the final refusal.
 func (l *flow) settle(cause error) (err error) {
-	refusal := asRefusal(cause)
+	refusal := banyanplank.AsRefusal(cause)
 	if promised(cause) && l.step >= arbiter.StepSend {
 		l.sent = false
 		l.unused = true
--- a/coordination/stepper/group.go
+++ b/coordination/stepper/group.go
@@ -89,7 +89,7 @@
 		if len(left) == 0 {
 			return nil
 		}
-		if err := wait(ctx, retryPause); err != nil {
+		if err := banyanplank.Pause(ctx, retryPause); err != nil {
 			return err
 		}
 	}
@@ -158,13 +158,3 @@
 func (g *group) expectsTry() bool {
 	return g.lost <= retryShare && math.Pow(1-g.lost, float64(len(g.backends))) > 1.0/prepareTries
 }
-
-// wait pauses.
-func wait(ctx context.Context, pause time.Duration) (err error) {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(pause):
-		return nil
-	}
-}
--- a/coordination/stepper/stepper.go
+++ b/coordination/stepper/stepper.go
@@ -61,7 +61,7 @@
 // often whether a group stands still.
 func (s *Stepper) Run(ctx context.Context) (err error) {
 	pause := s.interval
-	for wait(ctx, pause) == nil {
+	for banyanplank.Pause(ctx, pause) == nil {
 		table, backends, duty := s.fleet()
 		pause = s.interval
 		if duty != Lead || table == nil {
--- a/coordination/stepper/switch.go
+++ b/coordination/stepper/switch.go
@@ -130,7 +130,7 @@
 		if err = g.ranks.Order(ctx, holder, order); err == nil || errors.Is(err, banyanplank.ErrConflict) {
 			return nil
 		}
-		if paused := wait(ctx, retryPause); paused != nil {
+		if paused := banyanplank.Pause(ctx, retryPause); paused != nil {
 			return errors.CombineErrors(err, paused)
 		}
 	}
--- a/coordination/stepper/thaw_test.go
+++ b/coordination/stepper/thaw_test.go
@@ -59,20 +59,20 @@
 				New(w, w.fleet(second.Load)),
 			}
 			play(t, w, steppers, 20*time.Second, func(ctx context.Context) {
-				_ = wait(ctx, 400*time.Millisecond+time.Duration(moment)*5*time.Millisecond)
+				_ = banyanplank.Pause(ctx, 400*time.Millisecond+time.Duration(moment)*5*time.Millisecond)
 				frozen.mutex.Lock()
 				thaw := make(chan struct{})
 				frozen.thaw = thaw
 				frozen.mutex.Unlock()
-				_ = wait(ctx, 1500*time.Millisecond)
+				_ = banyanplank.Pause(ctx, 1500*time.Millisecond)
 				second.Store(true)
-				_ = wait(ctx, 2500*time.Millisecond)
+				_ = banyanplank.Pause(ctx, 2500*time.Millisecond)
 				w.shift()
 				frozen.mutex.Lock()
 				frozen.thaw = nil
 				frozen.mutex.Unlock()
 				close(thaw)
-				_ = wait(ctx, 300*time.Millisecond)
+				_ = banyanplank.Pause(ctx, 300*time.Millisecond)
 				second.Store(false)
 			})
 			is.True(w.passes > 400-40-20) // of 400, less the take-over and a second to settle
@@ -100,12 +100,12 @@
 				New(w, w.standby(), WithStanding(w.standing)),
 			}
 			play(t, w, steppers, 10*time.Second, func(ctx context.Context) {
-				_ = wait(ctx, 800*time.Millisecond+time.Duration(moment)*2*time.Millisecond)
+				_ = banyanplank.Pause(ctx, 800*time.Millisecond+time.Duration(moment)*2*time.Millisecond)
 				frozen.mutex.Lock()
 				thaw := make(chan struct{})
 				frozen.thaw = thaw
 				frozen.mutex.Unlock()
-				_ = wait(ctx, 4*time.Second)
+				_ = banyanplank.Pause(ctx, 4*time.Second)
 				frozen.mutex.Lock()
 				frozen.thaw = nil
 				frozen.mutex.Unlock()
@@ -134,7 +134,7 @@
 			}
 			play(t, w, steppers, 20*time.Second, func(context.Context) {
 				for i := range 6 {
-					_ = wait(ctx, 400*time.Millisecond+time.Duration(moment)*7*time.Millisecond)
+					_ = banyanplank.Pause(ctx, 400*time.Millisecond+time.Duration(moment)*7*time.Millisecond)
 					w.shift()
 					leads.Store(i%2 == 1)
 				}
@@ -159,7 +159,7 @@
 			other.backends = append(other.backends, &w.backends[i])
 		}
 		play(t, w, []*Stepper{s}, 10*time.Second, func(ctx context.Context) {
-			_ = wait(ctx, time.Second)
+			_ = banyanplank.Pause(ctx, time.Second)
 			is.NoErr(other.refresh(ctx))
 			var err error
 			current, err = other.places(ctx)
--- a/coordination/stepper/world_test.go
+++ b/coordination/stepper/world_test.go
@@ -93,7 +93,7 @@
 
 // run makes passes until ctx ends.
 func (w *world) run(ctx context.Context) {
-	for wait(ctx, w.pass) == nil {
+	for banyanplank.Pause(ctx, w.pass) == nil {
 		w.begin()
 	}
 }
@@ -196,7 +196,7 @@
 	way := time.Duration(w.random.Int64N(int64(8 * time.Millisecond)))
 	w.mutex.Unlock()
 	if thaw == nil && late == 0 {
-		if err := wait(ctx, way); err != nil {
+		if err := banyanplank.Pause(ctx, way); err != nil {
 			return err
 		}
 		return w.carryOut(backend.Rank, order)
@@ -216,7 +216,7 @@
 		time.Sleep(late)
 		_ = w.carryOut(backend.Rank, order) // nobody hears of it
 	})
-	if err := wait(ctx, 250*time.Millisecond); err != nil {
+	if err := banyanplank.Pause(ctx, 250*time.Millisecond); err != nil {
 		return err
 	}
 	return banyanplank.ErrUncertain
--- a/outcome.go
+++ b/outcome.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Outcome tells a caller what is known of a request that got no whole answer.
@@ -56,3 +58,11 @@
 func (r *Refusal) Error() string {
 	return fmt.Sprintf("%s: %s: %s", r.Outcome, r.Reason, r.Detail)
 }
+
+// AsRefusal returns the refusal in err. Any other error leaves the outcome unknown.
+func AsRefusal(err error) (refusal *Refusal) {
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return &Refusal{Outcome: OutcomeUnknown, Reason: ReasonEndpoint, Detail: err.Error()}
+}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/platform/mimic"
 )
 
@@ -67,10 +68,10 @@
 // run calls until ctx ends.
 func (c *caller) run(ctx context.Context) {
 	defer c.client.CloseIdleConnections()
-	for pause(ctx, time.Duration(c.random.ExpFloat64()*float64(thinkTime))) == nil {
+	for banyanplank.Pause(ctx, time.Duration(c.random.ExpFloat64()*float64(thinkTime))) == nil {
 		r := c.ask(ctx, c.choose())
 		if r != nil && r.reply.Status == http.StatusServiceUnavailable && r.reply.After > 0 {
-			if pause(ctx, min(r.reply.After, patience/3)) != nil {
+			if banyanplank.Pause(ctx, min(r.reply.After, patience/3)) != nil {
 				return
 			}
 			again := r.Call
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/platform/mimic"
 )
 
@@ -200,7 +201,7 @@
 	var group conc.WaitGroup
 	for _, f := range faults {
 		group.Go(func() {
-			if pause(ctx, f.At) != nil {
+			if banyanplank.Pause(ctx, f.At) != nil {
 				return
 			}
 			over := make(chan struct{})
@@ -218,13 +219,3 @@
 	group.Wait()
 	w.faults = append(w.faults, faults...)
 }
-
-// pause waits.
-func pause(ctx context.Context, d time.Duration) (err error) {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
--- a/soak/process.go
+++ b/soak/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -18,6 +17,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/banyanplank/banyanplank/platform/mimic"
+	"github.com/banyanplank/banyanplank/standin/loopback"
 )
 
 // The terms of an entry.
@@ -56,68 +56,15 @@
 	work conc.WaitGroup
 }
 
-// The ports of entries and servers. They are below those that systems choose for
-// connections by themselves, since a process that starts again needs its own. Each
-// run has a block, and holds it by listening on its first port.
-const (
-	firstPort = 20000
-	blocks    = 20
-	blockSize = 500
-)
-
-// block is a range of ports that one run has.
-type block struct {
-	held net.Listener
-	next uint16
-	end  uint16
-}
-
-// reserve finds a block that no other run has.
-func reserve() (b *block, err error) {
-	for _, i := range rand.Perm(blocks) {
-		first := uint16(firstPort + i*blockSize)
-		if open, err := net.Listen("tcp", loopback(first).String()); err == nil {
-			return &block{held: open, next: first, end: first + blockSize}, nil
-		}
-	}
-	return nil, errors.New("no block of ports is free")
-}
-
-// address returns the next address of the block that nothing uses.
-func (b *block) address() (address netip.AddrPort, err error) {
-	for b.next++; b.next < b.end; b.next++ {
-		if address = loopback(b.next); isFree(address) {
-			return address, nil
-		}
-	}
-	return address, errors.New("the block of ports is used up")
-}
-
-func loopback(port uint16) (address netip.AddrPort) {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
-}
-
-func isFree(address netip.AddrPort) bool {
-	open, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return false
-	}
-	conn, err := net.ListenPacket("udp", address.String())
-	if err == nil {
-		err = conn.Close()
-	}
-	return errors.CombineErrors(err, open.Close()) == nil
-}
-
 // newEntry writes the settings of an entry.
-func newEntry(name, zone, program, dir string, store netip.AddrPort, ports *block) (e *entry, err error) {
+func newEntry(name, zone, program, dir string, store netip.AddrPort) (e *entry, err error) {
 	defer func() { err = errors.Wrapf(err, "prepare %s", name) }()
 	e = &entry{name: name, zone: zone, program: program, dir: dir}
 	if e.store, err = newProxy(store); err != nil {
 		return nil, err
 	}
 	for _, address := range []*netip.AddrPort{&e.caller, &e.directory, &e.ready, &e.peer} {
-		if *address, err = ports.address(); err != nil {
+		if *address, err = loopback.Address(); err != nil {
 			return nil, err
 		}
 	}
@@ -227,9 +174,9 @@
 }
 
 // newPlace reserves the addresses of a server.
-func newPlace(service, zone string, ports *block) (p *place, err error) {
+func newPlace(service, zone string) (p *place, err error) {
 	p = &place{service: service, zone: zone}
-	if p.listen, err = ports.address(); err != nil {
+	if p.listen, err = loopback.Address(); err != nil {
 		return nil, err
 	}
 	p.back, err = newProxy(p.listen)
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/netip"
@@ -10,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+
+	"github.com/banyanplank/banyanplank"
 )
 
 // mode is what a proxy does with what passes through it.
@@ -40,11 +43,14 @@
 	mutex  sync.Mutex
 	conns  map[net.Conn]bool
 	work   conc.WaitGroup
+	ctx    context.Context
+	end    context.CancelFunc
 }
 
 // newProxy listens on loopback until it is closed.
 func newProxy(target netip.AddrPort) (p *proxy, err error) {
 	p = &proxy{target: target, conns: make(map[net.Conn]bool)}
+	p.ctx, p.end = context.WithCancel(context.Background())
 	if p.open, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return nil, err
 	}
@@ -67,6 +73,7 @@
 
 // close ends the proxy and its connections.
 func (p *proxy) close() {
+	p.end()
 	_ = p.open.Close()
 	p.cut()
 	p.work.Wait()
@@ -144,7 +151,8 @@
 		case dropped:
 			n = 0
 		case delay:
-			<-time.After(lateness)
+			// A proxy that closes has closed both connections.
+			_ = banyanplank.Pause(p.ctx, lateness)
 		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/platform/mimic"
 )
 
@@ -84,7 +85,6 @@
 	store   *mimic.Store
 	served  *http.Server
 	serving conc.WaitGroup
-	ports   *block
 	ledger  *mimic.Ledger
 	entries []*entry
 	places  []*place
@@ -141,9 +141,6 @@
 
 // build starts the stand-ins and the entries.
 func (w *world) build() (err error) {
-	if w.ports, err = reserve(); err != nil {
-		return err
-	}
 	open, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -156,7 +153,7 @@
 		if i >= desks {
 			service = mimic.Chat
 		}
-		p, err := newPlace(service, zones[i%len(zones)], w.ports)
+		p, err := newPlace(service, zones[i%len(zones)])
 		if err != nil {
 			return err
 		}
@@ -166,7 +163,7 @@
 		}
 	}
 	for i := range w.options.entries {
-		e, err := newEntry(fmt.Sprintf("entry-%d", i), zones[i%len(zones)], w.program, w.dir, netip.MustParseAddrPort(open.Addr().String()), w.ports)
+		e, err := newEntry(fmt.Sprintf("entry-%d", i), zones[i%len(zones)], w.program, w.dir, netip.MustParseAddrPort(open.Addr().String()))
 		if err != nil {
 			return err
 		}
@@ -195,9 +192,6 @@
 		_ = w.served.Close()
 		w.serving.Wait()
 	}
-	if w.ports != nil {
-		_ = w.ports.held.Close()
-	}
 }
 
 // run plays all rounds while callers call.
@@ -212,7 +206,7 @@
 	}
 	group.Go(func() { w.measure(inner) })
 	random := newRandom(w.seed)
-	if pause(ctx, warmTime) == nil {
+	if banyanplank.Pause(ctx, warmTime) == nil {
 		for range w.rounds {
 			w.play(ctx, w.draw(random))
 			begin := time.Now()
@@ -233,7 +227,7 @@
 
 // measure looks at the memory of the entries until ctx ends.
 func (w *world) measure(ctx context.Context) {
-	for pause(ctx, measureEvery) == nil {
+	for banyanplank.Pause(ctx, measureEvery) == nil {
 		for _, e := range w.entries {
 			e.measure()
 		}
--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -54,35 +54,22 @@
 	apply()
 }
 
-func (f *faults) isDown() (down bool) {
+// read returns one of the faults.
+func read[T any](f *faults, fault *T) (value T) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.down
+	return *fault
 }
 
-func (f *faults) requestDelay() (delay time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.request
-}
+func (f *faults) isDown() (down bool) { return read(f, &f.down) }
 
-func (f *faults) replyDelay() (delay time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.reply
-}
+func (f *faults) requestDelay() (delay time.Duration) { return read(f, &f.request) }
 
-func (f *faults) readLag() (lag time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.reads
-}
+func (f *faults) replyDelay() (delay time.Duration) { return read(f, &f.reply) }
 
-func (f *faults) listLag() (lag time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.instances
-}
+func (f *faults) readLag() (lag time.Duration) { return read(f, &f.reads) }
+
+func (f *faults) listLag() (lag time.Duration) { return read(f, &f.instances) }
 
 // losesReply reports whether this write's reply is lost, and counts it.
 func (f *faults) losesReply() (lost bool) {
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -122,7 +122,7 @@
 		return 0, banyanplank.ErrUnavailable
 	}
 	arrival := time.Now().Add(p.faults.requestDelay())
-	if !sleep(ctx, p.faults.requestDelay()) {
+	if banyanplank.Pause(ctx, p.faults.requestDelay()) != nil {
 		time.AfterFunc(time.Until(arrival), func() { _, _ = apply() })
 		return 0, uncertain(ctx)
 	}
@@ -130,7 +130,7 @@
 	if err == nil && p.faults.losesReply() {
 		return 0, errors.Wrap(banyanplank.ErrUncertain, "stand-in lost the reply")
 	}
-	if !sleep(ctx, p.faults.replyDelay()) {
+	if banyanplank.Pause(ctx, p.faults.replyDelay()) != nil {
 		return 0, uncertain(ctx)
 	}
 	return version, err
@@ -210,7 +210,7 @@
 	if p.faults.isDown() {
 		return banyanplank.ErrUnavailable
 	}
-	if !sleep(ctx, p.faults.requestDelay()) {
+	if banyanplank.Pause(ctx, p.faults.requestDelay()) != nil {
 		return unavailable(ctx)
 	}
 	return nil
@@ -218,7 +218,7 @@
 
 // finish delays the reply of a read.
 func (p *Platform) finish(ctx context.Context) (err error) {
-	if !sleep(ctx, p.faults.replyDelay()) {
+	if banyanplank.Pause(ctx, p.faults.replyDelay()) != nil {
 		return unavailable(ctx)
 	}
 	return nil
@@ -238,21 +238,3 @@
 func uncertain(ctx context.Context) (err error) {
 	return errors.Wrap(banyanplank.ErrUncertain, context.Cause(ctx).Error())
 }
-
-// sleep waits and reports false when ctx ends first.
-func sleep(ctx context.Context, wait time.Duration) (ok bool) {
-	if ctx.Err() != nil {
-		return false
-	}
-	if wait <= 0 {
-		return true
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/state/follower/follower.go
+++ b/state/follower/follower.go
@@ -242,7 +242,8 @@
 			return
 		case <-ticker.C:
 		case <-c.hint.news:
-			pause(ctx, settle/2+rand.N(settle))
+			// The loop looks at ctx.
+			_ = banyanplank.Pause(ctx, settle/2+rand.N(settle))
 		}
 	}
 }
@@ -265,7 +266,8 @@
 	if c.listed && !c.watches() {
 		longest = idlePause
 	}
-	pause(ctx, longest/2+rand.N(longest/2))
+	// The loop of the topic looks at ctx.
+	_ = banyanplank.Pause(ctx, longest/2+rand.N(longest/2))
 }
 
 // askPeers takes over what peers know beyond this daemon.
@@ -283,11 +285,3 @@
 		c.send(TopicMsg{Topic: c.topic, Entries: entries, Revision: revision, Whole: true, Relayed: true, Sent: asked})
 	}
 }
-
-// pause waits.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/transport/receiver/write.go
+++ b/transport/receiver/write.go
@@ -8,8 +8,6 @@
 	"strconv"
 	"strings"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/forwarder"
 )
@@ -28,18 +26,6 @@
 	Retry float64 `json:"retry,omitempty"`
 }
 
-// asRefusal takes an error that is no refusal as an unknown outcome.
-func asRefusal(err error) (refusal *banyanplank.Refusal) {
-	if errors.As(err, &refusal) {
-		return refusal
-	}
-	return &banyanplank.Refusal{
-		Outcome: banyanplank.OutcomeUnknown,
-		Reason:  banyanplank.ReasonEndpoint,
-		Detail:  err.Error(),
-	}
-}
-
 func newFailure(refusal *banyanplank.Refusal) (failure Failure) {
 	return Failure{Error: FailureDetail{
 		Outcome: refusal.Outcome,
@@ -69,7 +55,7 @@
 
 // writeRefusal answers a call of which nothing was written yet.
 func writeRefusal(w http.ResponseWriter, err error) {
-	refusal := asRefusal(err)
+	refusal := banyanplank.AsRefusal(err)
 	if refusal.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
 	}
@@ -133,7 +119,7 @@
 	if !w.events {
 		return cause
 	}
-	data, err := json.Marshal(newFailure(asRefusal(cause)))
+	data, err := json.Marshal(newFailure(banyanplank.AsRefusal(cause)))
 	if err != nil {
 		return cause
 	}
