Split what draws a fault, and read configurations in one place

Cause: soak's drawOne had 60 lines; three commands of banyanplank read the accepted configuration in the same six lines.

Change: a function for each kind of fault, tables for those that differ in a value; and session.current.

--- a/cmd/banyanplank/burn.go
+++ b/cmd/banyanplank/burn.go
@@ -10,7 +10,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/flusher"
 	"github.com/banyanplank/banyanplank/coordination/reporter"
 	"github.com/banyanplank/banyanplank/state/tallier"
@@ -101,7 +100,7 @@
 	if err != nil {
 		return reporter.Report{}, err
 	}
-	configuration, err := c.configuration(ctx)
+	configuration, err := c.session.current(ctx)
 	if err != nil {
 		return reporter.Report{}, err
 	}
@@ -140,15 +139,6 @@
 	return answered, problems, nil
 }
 
-// configuration reads the objectives.
-func (c *burnCommand) configuration(ctx context.Context) (configuration *banyanplank.Configuration, err error) {
-	a, err := c.session.accepted()
-	if err != nil {
-		return nil, err
-	}
-	return a.Current(ctx)
-}
-
 // save writes to the output file, or to standard output.
 func (c *burnCommand) save(write func(io.Writer) error) (err error) {
 	if c.Output == "" {
--- a/cmd/banyanplank/diff.go
+++ b/cmd/banyanplank/diff.go
@@ -52,11 +52,7 @@
 	}
 	ctx, cancel := c.session.deadline()
 	defer cancel()
-	a, err := c.session.accepted()
-	if err != nil {
-		return err
-	}
-	current, err := a.Current(ctx)
+	current, err := c.session.current(ctx)
 	if err != nil {
 		return err
 	}
--- a/cmd/banyanplank/get.go
+++ b/cmd/banyanplank/get.go
@@ -31,11 +31,7 @@
 func (c *getCommand) Execute([]string) (err error) {
 	ctx, cancel := c.session.deadline()
 	defer cancel()
-	a, err := c.session.accepted()
-	if err != nil {
-		return err
-	}
-	current, err := a.Current(ctx)
+	current, err := c.session.current(ctx)
 	if err != nil {
 		return err
 	}
--- a/cmd/banyanplank/session.go
+++ b/cmd/banyanplank/session.go
@@ -72,6 +72,15 @@
 	return accepter.New(store, accepter.WithCheck(parser.Check)), nil
 }
 
+// current reads the accepted configuration.
+func (s *session) current(ctx context.Context) (configuration *banyanplank.Configuration, err error) {
+	a, err := s.accepted()
+	if err != nil {
+		return nil, err
+	}
+	return a.Current(ctx)
+}
+
 // write writes text, or value as JSON if that was asked for.
 func (s *session) write(value any, text string) (err error) {
 	if !s.options.JSON {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -50,70 +50,98 @@
 	return series
 }
 
+// The kinds of faults that are drawn by their place.
+var (
+	troubles = []struct {
+		kind    string
+		trouble mimic.Trouble
+	}{
+		{"store busy", mimic.Busy}, {"store many", mimic.Many}, {"store lost answers", mimic.Lost}, {"store silent", mimic.Silent},
+	}
+	// shares are the parts of the calls that meet a trouble.
+	shares = []float64{0.3, 1}
+	links  = []struct {
+		kind string
+		mode mode
+	}{
+		{"delay", delay}, {"reset", reset}, {"mute", mute}, {"deaf", deaf},
+	}
+	flaws = []struct {
+		kind string
+		flaw mimic.Flaw
+	}{
+		{"forgetful", mimic.Forgetful}, {"short", mimic.Short}, {"full", mimic.Full}, {"failing", mimic.Failing},
+	}
+)
+
 // drawOne draws a fault without its times.
 func (w *world) drawOne(random *rand.Rand) (f *Fault) {
 	e := w.entries[random.IntN(len(w.entries))]
 	index := random.IntN(len(w.places))
-	p := w.places[index]
-	troubles := map[string]mimic.Trouble{
-		"store busy": mimic.Busy, "store many": mimic.Many, "store lost answers": mimic.Lost, "store silent": mimic.Silent,
-	}
-	modes := map[string]mode{"delay": delay, "reset": reset, "mute": mute, "deaf": deaf}
-	names := []string{"delay", "reset", "mute", "deaf"}
-	name := names[random.IntN(len(names))]
+	p, link := w.places[index], links[random.IntN(len(links))]
 	switch random.IntN(10) {
 	case 0:
-		stores := []string{"store busy", "store many", "store lost answers", "store silent"}
-		trouble, share := stores[random.IntN(len(stores))], []float64{0.3, 1}[random.IntN(2)]
-		return &Fault{Kind: trouble, Target: fmt.Sprintf("%.0f%% of calls", 100*share), strike: func(over <-chan struct{}) {
-			w.store.Suffer(troubles[trouble], share)
-			<-over
-			w.store.Suffer(mimic.None, 0)
-		}}
+		return w.storeFault(random)
 	case 1:
-		return &Fault{Kind: "link to store " + name, Target: e.name, strike: through(e.store, modes[name])}
+		return &Fault{Kind: "link to store " + link.kind, Target: e.name, strike: through(e.store, link.mode)}
 	case 2, 3:
-		return &Fault{Kind: "link to server " + name, Target: p.name(index), strike: through(p.back, modes[name])}
-	case 8, 9:
-		names := []string{"forgetful", "short", "full", "failing"}
-		flaws := []mimic.Flaw{mimic.Forgetful, mimic.Short, mimic.Full, mimic.Failing}
-		n := random.IntN(len(flaws))
-		return &Fault{Kind: "servers " + names[n], Target: p.service, strike: func(over <-chan struct{}) {
-			w.suffer(p.service, flaws[n])
-			<-over
-			w.suffer(p.service, mimic.Sound)
-		}}
+		return &Fault{Kind: "link to server " + link.kind, Target: p.name(index), strike: through(p.back, link.mode)}
 	case 4:
 		return &Fault{Kind: "server crash", Target: p.name(index), strike: func(over <-chan struct{}) { w.restart(index, over) }}
 	case 5:
-		return &Fault{Kind: "entry frozen", Target: e.name, strike: func(over <-chan struct{}) {
-			w.hold(e, func() {
-				e.signal(syscall.SIGSTOP)
-				<-over
-				e.signal(syscall.SIGCONT)
-			})
-		}}
+		return w.freezeFault(e)
 	case 6:
-		return &Fault{Kind: "entry killed", Target: e.name, strike: func(over <-chan struct{}) {
-			w.hold(e, func() {
-				e.signal(syscall.SIGKILL)
-				e.wait()
-				<-over
-				w.failed(e.start())
-			})
-		}}
+		return w.endFault("entry killed", e, syscall.SIGKILL)
+	case 7:
+		return w.endFault("entry stopped in trouble", e, syscall.SIGTERM)
 	default:
-		return &Fault{Kind: "entry stopped in trouble", Target: e.name, strike: func(over <-chan struct{}) {
-			w.hold(e, func() {
-				e.signal(syscall.SIGTERM)
-				e.wait()
-				<-over
-				w.failed(e.start())
-			})
-		}}
+		return w.flawFault(random, p.service)
 	}
 }
 
+// storeFault gives the store a trouble.
+func (w *world) storeFault(random *rand.Rand) (f *Fault) {
+	t, share := troubles[random.IntN(len(troubles))], shares[random.IntN(len(shares))]
+	return &Fault{Kind: t.kind, Target: fmt.Sprintf("%.0f%% of calls", 100*share), strike: func(over <-chan struct{}) {
+		w.store.Suffer(t.trouble, share)
+		<-over
+		w.store.Suffer(mimic.None, 0)
+	}}
+}
+
+// flawFault gives all servers of a service a flaw.
+func (w *world) flawFault(random *rand.Rand, service string) (f *Fault) {
+	n := flaws[random.IntN(len(flaws))]
+	return &Fault{Kind: "servers " + n.kind, Target: service, strike: func(over <-chan struct{}) {
+		w.suffer(service, n.flaw)
+		<-over
+		w.suffer(service, mimic.Sound)
+	}}
+}
+
+// freezeFault stops an entry and lets it go on.
+func (w *world) freezeFault(e *entry) (f *Fault) {
+	return &Fault{Kind: "entry frozen", Target: e.name, strike: func(over <-chan struct{}) {
+		w.hold(e, func() {
+			e.signal(syscall.SIGSTOP)
+			<-over
+			e.signal(syscall.SIGCONT)
+		})
+	}}
+}
+
+// endFault ends an entry by a signal and starts it again.
+func (w *world) endFault(kind string, e *entry, signal syscall.Signal) (f *Fault) {
+	return &Fault{Kind: kind, Target: e.name, strike: func(over <-chan struct{}) {
+		w.hold(e, func() {
+			e.signal(signal)
+			e.wait()
+			<-over
+			w.failed(e.start())
+		})
+	}}
+}
+
 // through sets the mode of a proxy for a while.
 func through(p *proxy, m mode) (strike func(over <-chan struct{})) {
 	return func(over <-chan struct{}) {
