--- a/coordination/aggregator/aggregator.go
+++ b/coordination/aggregator/aggregator.go
@@ -40,6 +40,9 @@
 	fresh     time.Duration
 	ranks     []rankState
 	estimates []estimate
+	// reference is the steps a second that the estimates are scaled to, or zero. The
+	// group may become faster or slower without a change of the demand in a step.
+	reference float64
 	stepCost  StepCost
 }
 
@@ -50,7 +53,8 @@
 	incarnation banyanplank.Incarnation
 	sequence    uint64
 	mapID       banyanplank.MapID
-	span        time.Duration
+	// pace is the steps a second that the rank counted, or zero.
+	pace float64
 	// rates holds the tokens a second by layer and slot.
 	rates    []float32
 	counted  time.Time
@@ -174,7 +178,7 @@
 func (a *Aggregator) count(now time.Time, r *rankState, report banyanplank.RankLoad) {
 	r.counted = now
 	r.mapID = report.Map
-	r.span = report.Span
+	r.pace = float64(report.Steps) / report.Span.Seconds()
 	r.busy = report.Busy
 	if r.rates == nil {
 		r.rates = make([]float32, len(report.Tokens))
--- a/coordination/aggregator/round.go
+++ b/coordination/aggregator/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -69,6 +70,14 @@
 	shape := a.maps[0].Shape
 	popularity = banyanplank.Popularity{Shape: shape, Tokens: make([]float32, shape.Layers*shape.Experts)}
 	sums := newSums(shape, len(a.maps))
+	pace := a.commonPace(now)
+	if a.reference == 0 {
+		a.reference = pace
+	}
+	scale := float32(1)
+	if pace > 0 {
+		scale = float32(pace / a.reference)
+	}
 	for layer := range shape.Layers {
 		a.sumLayer(now, layer, sums)
 		popularity.Sudden = a.foldLayer(now, layer, sums) || popularity.Sudden
@@ -78,7 +87,7 @@
 			return banyanplank.Popularity{}, errors.Newf("no rank has reported expert %d of layer %d of group %q",
 				i%shape.Experts, i/shape.Experts, a.maps[0].Group)
 		}
-		popularity.Tokens[i] = a.estimates[i].mean
+		popularity.Tokens[i] = scale * a.estimates[i].mean
 	}
 	return popularity, nil
 }
@@ -122,20 +131,46 @@
 	slots := a.maps[0].Shape.Slots
 	for rank := range a.ranks {
 		r := &a.ranks[rank]
-		at := a.indexOf(r.mapID)
-		if at < 0 || r.rates == nil || now.Sub(r.counted) > a.fresh {
+		if !a.isFresh(now, r) {
 			continue
 		}
+		at := a.indexOf(r.mapID)
+		scale := float32(1)
+		if r.pace > 0 {
+			scale = float32(a.reference / r.pace)
+		}
 		places := a.maps[at].Layer(layer)[rank*slots : (rank+1)*slots]
 		for slot, e := range places {
 			if e != banyanplank.NoExpert {
 				s.fresh[e]++
-				s.demand[e] += r.rates[layer*slots+slot] * float32(s.replicas[at][e])
+				s.demand[e] += scale * r.rates[layer*slots+slot] * float32(s.replicas[at][e])
 			}
 		}
 	}
 }
 
+// isFresh reports whether the latest counts of a rank still tell of the demand.
+func (a *Aggregator) isFresh(now time.Time, r *rankState) bool {
+	return a.indexOf(r.mapID) >= 0 && r.rates != nil && now.Sub(r.counted) <= a.fresh
+}
+
+// commonPace returns the steps a second of the group, or zero when no rank counts
+// them. All ranks make the same steps, so paces differ only by when each rank read
+// its counts.
+func (a *Aggregator) commonPace(now time.Time) (pace float64) {
+	var paces []float64
+	for i := range a.ranks {
+		if r := &a.ranks[i]; r.pace > 0 && a.isFresh(now, r) {
+			paces = append(paces, r.pace)
+		}
+	}
+	if len(paces) == 0 {
+		return 0
+	}
+	slices.Sort(paces)
+	return paces[len(paces)/2]
+}
+
 // countReplicas counts the replicas of each expert in a layer.
 func countReplicas(places []uint16, replicas []uint16) {
 	clear(replicas)
--- a/daemon/loads.go
+++ b/daemon/loads.go
@@ -35,6 +35,9 @@
 		Late:        status.Late,
 		Tokens:      make([]uint32, len(status.Counts)),
 	}
+	if status.Step > c.latest.Step {
+		load.Steps = status.Step - c.latest.Step
+	}
 	for i, count := range status.Counts {
 		if count >= c.latest.Counts[i] {
 			load.Tokens[i] = uint32(min(count-c.latest.Counts[i], math.MaxUint32))
--- a/protocol/orderer/orderer.go
+++ b/protocol/orderer/orderer.go
@@ -35,6 +35,7 @@
 		Arrived:     load.Arrived,
 		Busy:        uint64(load.Busy.Microseconds()),
 		Late:        uint64(load.Late.Microseconds()),
+		Steps:       load.Steps,
 	}
 	if len(load.Tokens) == 0 {
 		return message
@@ -65,6 +66,7 @@
 		Sequence:    message.Sequence,
 		Map:         banyanplank.MapID(message.Map),
 		Arrived:     message.Arrived,
+		Steps:       message.Steps,
 	}
 	for _, d := range []struct {
 		to   *time.Duration
--- a/protocol/orderer/orderer_test.go
+++ b/protocol/orderer/orderer_test.go
@@ -134,6 +134,7 @@
 		Map:         banyanplank.NewMapID(9999, 9999),
 		Span:        time.Minute,
 		Arrived:     1 << 40,
+		Steps:       1 << 20,
 		Busy:        50 * time.Millisecond,
 		Tokens:      make([]uint32, targetShape.Layers*targetShape.Slots),
 	}
--- a/rankload.go
+++ b/rankload.go
@@ -13,6 +13,8 @@
 	Map MapID
 	// Span is the time over which Tokens were counted.
 	Span time.Duration
+	// Steps is how many steps the rank began meanwhile. Zero means unknown.
+	Steps uint64
 	// Arrived is the latest step at whose barrier the rank has arrived.
 	Arrived uint64
 	// Busy is the rank's own time in one step, without waiting for others.
