--- a/gateway/record.go
+++ b/gateway/record.go
@@ -89,7 +89,7 @@
 		line.Int("own", f.lease.Own).Int("others", f.lease.Others).Float64("limit", f.lease.Limit)
 	}
 	if f.stream.events > 0 {
-		line.Int("events", f.stream.events).Str("last", f.stream.last)
+		line.Int("events", f.stream.events).Str("last", f.stream.last).Dur("pause", f.stream.pause)
 	}
 	if f.result.reason != "" {
 		line.Str("reason", f.result.reason)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -33,6 +33,8 @@
 	last   string
 	events int
 	at     time.Time
+	// pause is the longest time between two events.
+	pause time.Duration
 }
 
 // errSlow means that the endpoint holds up its group of ranks as long as it has
@@ -145,7 +147,9 @@
 	if f.stream.at.IsZero() {
 		f.lease.Begun()
 	} else {
-		f.lease.Event(now.Sub(f.stream.at))
+		gap := now.Sub(f.stream.at)
+		f.stream.pause = max(f.stream.pause, gap)
+		f.lease.Event(gap)
 	}
 	f.stream.at = now
 	return fresh
