--- a/coordination/planner/chain.go
+++ b/coordination/planner/chain.go
@@ -23,7 +23,7 @@
 	tries := chainTries
 	for _, to := range order[:min(lightest, len(order))] {
 		for slot := range l.slots {
-			if to == rank || l.isSpare(to, slot) {
+			if to == rank || l.isFull(to) || l.isSpare(to, slot) {
 				continue
 			}
 			for _, e := range l.places[rank*l.slots : (rank+1)*l.slots] {
@@ -55,7 +55,7 @@
 // tryChain looks for the lightest rank with a spare slot for the moved expert.
 func (l *layer) tryChain(best *candidate, c chain, rank int, peak, mean float64, order []int, tries *int) {
 	for _, other := range order {
-		if other == c.to || other == rank || l.holds(other, c.moved) {
+		if other == c.to || other == rank || l.isFull(other) || l.holds(other, c.moved) {
 			continue
 		}
 		for slot := range l.slots {
--- a/coordination/planner/input.go
+++ b/coordination/planner/input.go
@@ -27,6 +27,9 @@
 	// Staging bounds the slots that one rank fills in one plan. The rank holds
 	// the new weights beside the old ones until the switch.
 	Staging int
+	// Layer bounds the slots of one layer that one rank fills in one plan. Zero
+	// leaves the bound to Staging.
+	Layer int
 	// Gain is the least relative step-time gain of a plan.
 	Gain float64
 	// Margin is by how much the step time won must exceed the cost. The
@@ -46,6 +49,12 @@
 	Load time.Duration
 	// Switch is the step time that changing the map costs the group.
 	Switch time.Duration
+	// Copy is the time in which a rank fills one slot, one after the other, and
+	// Delay the time that a plan takes besides. If Copy is set, a plan fills so few
+	// slots of each rank that it wins most for the time until it is in use; what it
+	// leaves is for the next plan.
+	Copy  time.Duration
+	Delay time.Duration
 	// Horizon is how long the demand is expected to last.
 	Horizon time.Duration
 }
@@ -94,10 +103,10 @@
 			return errors.Newf("rank %d has speed %g", n, r.Speed)
 		}
 	}
-	if l := i.Limits; l.Loads < 0 || l.Staging < 0 || l.Gain < 0 || l.Margin < 0 {
+	if l := i.Limits; l.Loads < 0 || l.Staging < 0 || l.Layer < 0 || l.Gain < 0 || l.Margin < 0 {
 		return errors.Newf("negative limit in %+v", l)
 	}
-	if p := i.Prices; p.Token <= 0 || p.Steps <= 0 || p.Horizon <= 0 || p.Load < 0 || p.Switch < 0 || p.Fixed < 0 {
+	if p := i.Prices; p.Token <= 0 || p.Steps <= 0 || p.Horizon <= 0 || p.Load < 0 || p.Switch < 0 || p.Fixed < 0 || p.Copy < 0 || p.Delay < 0 {
 		return errors.Newf("token time, steps and horizon must be above zero in %+v", p)
 	}
 	return nil
--- a/coordination/planner/layer.go
+++ b/coordination/planner/layer.go
@@ -20,6 +20,8 @@
 	homes [][]uint16
 	// load is the demand that each rank carries.
 	load []float64
+	// budget, if set, bounds the ranks that changes may fill slots of.
+	budget *budget
 	// changed is scratch space for the loads that a change would make.
 	changed []change
 	// order, light and next are scratch space of the search: the ranks by
@@ -113,6 +115,11 @@
 	return l.places[rank*l.slots+slot]
 }
 
+// isFull reports whether the plan may fill no more slots of the rank in this layer.
+func (l *layer) isFull(rank int) bool {
+	return l.budget != nil && !l.budget.covers(banyanplank.SlotMove{Layer: uint16(l.index), Rank: uint16(rank)})
+}
+
 // holds reports whether rank has a replica of expert.
 func (l *layer) holds(rank int, expert uint16) bool {
 	return slices.Contains(l.places[rank*l.slots:(rank+1)*l.slots], expert)
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -48,7 +48,7 @@
 	if ranks.usable == 0 {
 		return Plan{}, errors.New("every rank is excluded")
 	}
-	d := &draft{input: &input, ranks: ranks, budget: newBudget(input.Limits, len(input.Ranks))}
+	d := &draft{input: &input, ranks: ranks, budget: newBudget(input.Limits, input.Map.Shape.Layers, len(input.Ranks))}
 	d.open()
 	d.evacuate()
 	d.improve()
@@ -105,28 +105,40 @@
 func (d *draft) improve() {
 	from := *d.input
 	from.Map = d.next
-	paths := make([][]step, len(d.before))
+	paths, taken := d.choose(&from)
+	after := d.peaks(paths, taken)
+	if slices.Max(taken) == 0 || !d.isWorth(taken, paths, after) {
+		return
+	}
+	d.gain = true
+	d.after = after
+	for i, n := range taken {
+		write(&d.next, paths[i][:n])
+	}
+}
+
+// choose returns steps of each layer, and how many of them are taken.
+func (d *draft) choose(from *Input) (paths [][]step, taken []int) {
+	if d.input.Prices.Copy > 0 {
+		return d.chooseSoon(from)
+	}
+	paths = make([][]step, len(d.before))
 	for i := range paths {
-		l := newLayer(&from, d.ranks, i)
+		l := newLayer(from, d.ranks, i)
 		paths[i] = l.search(d.pathLimit())
 	}
-	taken := choose(d.budget, d.leastSlope(), paths, d.evacuated)
-	after := slices.Clone(d.evacuated)
-	steps := 0
+	return paths, choose(d.budget, d.leastSlope(), paths, d.evacuated)
+}
+
+// peaks returns the peaks of the layers after some steps of each.
+func (d *draft) peaks(paths [][]step, taken []int) (after []float64) {
+	after = slices.Clone(d.evacuated)
 	for i, n := range taken {
 		if n > 0 {
 			after[i] = paths[i][n-1].peak
-			steps += n
 		}
 	}
-	if steps == 0 || !d.isWorth(taken, paths, after) {
-		return
-	}
-	d.gain = true
-	d.after = after
-	for i, n := range taken {
-		write(&d.next, paths[i][:n])
-	}
+	return after
 }
 
 // pathLimit bounds the slots that one layer fills before it is weighed against
--- a/coordination/planner/search.go
+++ b/coordination/planner/search.go
@@ -48,14 +48,9 @@
 // search improves the layer step by step, always at its slowest rank, until
 // no change helps or limit slots have been filled.
 func (l *layer) search(limit int) (steps []step) {
-	mean := l.mean()
 	loads := 0
 	for loads < limit {
-		rank, peak := l.heaviest()
-		if rank < 0 || peak <= mean*(1+tolerance) {
-			break
-		}
-		best := l.bestChange(rank, peak, mean)
+		best := l.nextChange()
 		if !best.ok {
 			break
 		}
@@ -66,6 +61,16 @@
 	return steps
 }
 
+// nextChange returns the best change at the slowest rank, if any helps.
+func (l *layer) nextChange() (best candidate) {
+	mean := l.mean()
+	rank, peak := l.heaviest()
+	if rank < 0 || peak <= mean*(1+tolerance) {
+		return candidate{}
+	}
+	return l.bestChange(rank, peak, mean)
+}
+
 // bestChange returns the change that relieves rank most for each slot filled.
 func (l *layer) bestChange(rank int, peak, mean float64) (best candidate) {
 	order := l.byTime()
@@ -97,7 +102,7 @@
 // tryReplicas tries to give an expert of rank another replica on a light rank.
 func (l *layer) tryReplicas(best *candidate, rank int, peak, mean float64, order []int) {
 	for _, to := range order[:min(lightest, len(order))] {
-		if to == rank {
+		if to == rank || l.isFull(to) {
 			continue
 		}
 		for slot := range l.slots {
@@ -115,6 +120,9 @@
 
 // tryReplacements tries to replace a spare replica on rank by a light expert.
 func (l *layer) tryReplacements(best *candidate, rank int, peak, mean float64) {
+	if l.isFull(rank) {
+		return
+	}
 	for slot := range l.slots {
 		if !l.isSpare(rank, slot) {
 			continue
@@ -170,8 +178,11 @@
 // on the lightest ranks first. It leaves out the ranks with which no exchange
 // could relieve more than the best change so far.
 func (l *layer) trySwaps(best *candidate, rank int, peak, mean float64, order []int) {
+	if l.isFull(rank) {
+		return
+	}
 	for _, to := range order {
-		if to == rank {
+		if to == rank || l.isFull(to) {
 			continue
 		}
 		even := (l.load[rank] + l.load[to]) / (l.ranks.speed[rank] + l.ranks.speed[to])
@@ -215,6 +226,18 @@
 	*best = candidate{ok: true, score: score, rank: rank, slot: slot, expert: f, swap: true, otherRank: to, otherSlot: other}
 }
 
+// touches lists the ranks that the change fills slots of.
+func (c *candidate) touches() (ranks []int) {
+	switch {
+	case c.chain != nil:
+		return []int{c.chain.to, c.chain.other}
+	case c.swap:
+		return []int{c.rank, c.otherRank}
+	default:
+		return []int{c.rank}
+	}
+}
+
 // commit carries the change out in the working state.
 func (l *layer) commit(c candidate) (moves []banyanplank.SlotMove) {
 	if c.chain != nil {
--- a/coordination/stepper/group.go
+++ b/coordination/stepper/group.go
@@ -19,6 +19,8 @@
 	epoch    uint64
 	// pass is how long a pass takes.
 	pass time.Duration
+	// adopted is how long all ranks took to be armed for the latest map, or zero.
+	adopted time.Duration
 	// lossy tells that some order has got no answer, and lost which part of the
 	// latest orders has not.
 	lossy bool
@@ -28,9 +30,18 @@
 // refresh reads the reports of all ranks. The error is errMoved when they don't
 // form one open group of the known epoch.
 func (g *group) refresh(ctx context.Context) (err error) {
+	return g.refreshWhere(ctx, func(banyanplank.RankReport) bool { return true })
+}
+
+// refreshWhere reads the reports of the ranks whose latest one where selects.
+func (g *group) refreshWhere(ctx context.Context, where func(r banyanplank.RankReport) bool) (err error) {
 	reports := make([]banyanplank.RankReport, len(g.backends))
+	copy(reports, g.reports)
 	work := pool.New().WithErrors()
 	for i, b := range g.backends {
+		if !where(reports[i]) {
+			continue
+		}
 		work.Go(func() (err error) {
 			reports[i], err = g.ranks.Report(ctx, b)
 			return err
@@ -74,7 +85,7 @@
 		case order.Kind == banyanplank.RankPrepare && g.lost > 0 && g.expectsTry():
 			return errLate
 		}
-		if err := g.refresh(ctx); err != nil && (errors.Is(err, errMoved) || ctx.Err() != nil) {
+		if err := g.refreshWhere(ctx, pending); err != nil && (errors.Is(err, errMoved) || ctx.Err() != nil) {
 			return err
 		}
 		left = nil
@@ -89,7 +100,7 @@
 		if len(left) == 0 {
 			return nil
 		}
-		if err := banyanplank.Pause(ctx, retryPause); err != nil {
+		if err := banyanplank.Pause(ctx, lookPause); err != nil {
 			return err
 		}
 	}
@@ -131,6 +142,11 @@
 
 // give gives an order to several ranks and returns those that have not accepted it.
 func (g *group) give(ctx context.Context, order banyanplank.RankOrder, to []*banyanplank.Backend) (left []*banyanplank.Backend) {
+	if order.Kind == banyanplank.RankArm {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, g.patience())
+		defer cancel()
+	}
 	failed := make([]error, len(to))
 	work := pool.New()
 	for i, b := range to {
@@ -153,6 +169,12 @@
 	return left
 }
 
+// patience is how long an order waits for its answer. One that is carried out late
+// gets none, so a longer wait wins nothing.
+func (g *group) patience() (wait time.Duration) {
+	return orderPatience + time.Duration(len(g.backends))*rankPatience
+}
+
 // expectsTry reports whether another map is likely prepared at all ranks before
 // the late orders for this one are carried out.
 func (g *group) expectsTry() bool {
--- a/coordination/stepper/groups_test.go
+++ b/coordination/stepper/groups_test.go
@@ -36,18 +36,8 @@
 func TestTwoGroups(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		worlds := pair{"g0": newWorld(16, 4, 64, 5, 1), "g1": newWorld(16, 4, 64, 5, 2)}
-		table, _, _ := worlds["g0"].fleet(always)()
-		var backends []banyanplank.Backend
-		for _, name := range []banyanplank.GroupName{"g0", "g1"} {
-			for _, b := range worlds[name].backends {
-				b.Group, b.ID = name, banyanplank.BackendID(name)+"-"+b.ID
-				backends = append(backends, b)
-			}
-		}
-		s := New(worlds, func() (*banyanplank.RoutingTable, []banyanplank.Backend, Duty) {
-			return table, append([]banyanplank.Backend(nil), backends...), Lead
-		})
+		worlds, fleet := startPair(newWorld(16, 4, 64, 5, 1), newWorld(16, 4, 64, 5, 2))
+		s := New(worlds, fleet)
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
 		var work conc.WaitGroup
--- a/coordination/stepper/plan.go
+++ b/coordination/stepper/plan.go
@@ -14,6 +14,9 @@
 const (
 	// horizon is how long the demand is expected to last.
 	horizon = 4 * time.Second
+	// planDelay is the time from a shift until its plan is made, and for which all
+	// ranks are armed: a round, and some passes of a tenth of a second.
+	planDelay = 250 * time.Millisecond
 	// copySlowdown is how much longer passes take while weights are copied.
 	copySlowdown = 0.15
 	// leastGain is the least part of the step time that a plan must win while
@@ -55,17 +58,19 @@
 // most the spare experts of each rank and layer.
 func makePlan(spec *banyanplank.EngineSpec, current places, weight [][]float64, paces []float64) (p plan, err error) {
 	defer func() { err = errors.Wrap(err, "plan expert map") }()
-	for l, layer := range current {
-		next, result, err := planLayer(spec, layer, weight[l], paces)
-		if err != nil {
-			return plan{}, err
-		}
-		p.places = append(p.places, next)
-		p.before += result.SkewBefore / float64(len(current))
-		p.after += result.SkewAfter / float64(len(current))
-		p.moved = p.moved || result.Moving()
-		p.forced = p.forced || result.Reason == planner.ReasonExcluded
+	input := planInput(spec, current, weight, paces)
+	if input.Prices.Token == 0 {
+		return plan{places: current, before: 1, after: 1}, nil
+	}
+	result, err := planner.Make(input)
+	if err != nil {
+		return plan{}, err
+	}
+	for l := range current {
+		p.places = append(p.places, unflatten(result.Map, l))
 	}
+	p.before, p.after = result.SkewBefore, result.SkewAfter
+	p.moved, p.forced = result.Moving(), result.Reason == planner.ReasonExcluded
 	// The expert part of a step grows with the skew, the rest does not.
 	share := spec.ExpertShare
 	p.gain = share * (p.before - p.after) / (1 - share + share*p.before)
@@ -82,21 +87,25 @@
 	return idleGain + (leastGain-idleGain)*min(1, max(0, used))
 }
 
-// planLayer plans one layer by itself, because the spare experts of a rank are
-// counted by layer.
-func planLayer(spec *banyanplank.EngineSpec, current [][]uint16, weight []float64, paces []float64) (next [][]uint16, result planner.Plan, err error) {
-	shape := banyanplank.MapShape{Ranks: len(current), Layers: 1, Experts: spec.Experts, Slots: spec.Places}
-	input := planner.Input{
-		Map:        banyanplank.ExpertMap{ID: 1, Shape: shape, Places: flatten(current, shape)},
-		Popularity: banyanplank.Popularity{Shape: shape, Tokens: make([]float32, spec.Experts)},
-		Ranks:      make([]planner.Rank, len(current)),
-		Limits:     planner.Limits{Loads: spec.Spare * len(current), Staging: spec.Spare},
+// planInput returns the input of a plan. The price of a token is zero when nothing is
+// in demand.
+func planInput(spec *banyanplank.EngineSpec, current places, weight [][]float64, paces []float64) (input planner.Input) {
+	layers, ranks := len(current), len(current[0])
+	shape := banyanplank.MapShape{Ranks: ranks, Layers: layers, Experts: spec.Experts, Slots: spec.Places}
+	input = planner.Input{
+		Map:        banyanplank.ExpertMap{ID: 1, Shape: shape},
+		Popularity: banyanplank.Popularity{Shape: shape},
+		Ranks:      make([]planner.Rank, ranks),
+		Limits:     planner.Limits{Loads: spec.Spare * ranks * layers, Staging: spec.Spare * layers, Layer: spec.Spare},
 		Next:       2,
 	}
 	total := 0.0
-	for e, w := range weight {
-		input.Popularity.Tokens[e] = float32(w)
-		total += w
+	for l, layer := range current {
+		input.Map.Places = append(input.Map.Places, flatten(layer, shape)...)
+		for _, w := range weight[l] {
+			input.Popularity.Tokens = append(input.Popularity.Tokens, float32(w))
+			total += w
+		}
 	}
 	out := slowRanks(paces)
 	for r, pace := range paces {
@@ -106,22 +115,21 @@
 		}
 	}
 	if total == 0 {
-		return current, planner.Plan{SkewBefore: 1, SkewAfter: 1}, nil
+		return input
 	}
-	mean := total / float64(len(current)) / nominalSteps
-	layerTime := spec.ExpertShare * spec.Step.Seconds() / float64(max(1, spec.Layers))
+	mean := total / float64(layers*ranks) / nominalSteps
+	layerTime := spec.ExpertShare * spec.Step.Seconds() / float64(layers)
+	copying := spec.Weight / max(1, spec.LinkRate) * float64(time.Second)
 	input.Prices = planner.Prices{
-		Fixed:   time.Duration((1 - spec.ExpertShare) * float64(spec.Step) / float64(max(1, spec.Layers))),
+		Fixed:   time.Duration((1 - spec.ExpertShare) * float64(spec.Step)),
 		Token:   max(1, time.Duration(layerTime/mean*float64(time.Second))),
 		Steps:   nominalSteps,
-		Load:    time.Duration(copySlowdown * spec.Weight / max(1, spec.LinkRate) * float64(time.Second)),
+		Load:    time.Duration(copySlowdown * copying),
 		Horizon: horizon,
+		Copy:    max(1, time.Duration(copying)),
+		Delay:   planDelay,
 	}
-	result, err = planner.Make(input)
-	if err != nil {
-		return nil, result, err
-	}
-	return unflatten(result.Map), result, nil
+	return input
 }
 
 // slowRanks returns which ranks are left out for slowness: the slowest, as long
@@ -143,7 +151,7 @@
 
 // flatten lays out the experts of a layer by rank and slot.
 func flatten(layer [][]uint16, shape banyanplank.MapShape) (slots []uint16) {
-	slots = make([]uint16, 0, shape.Places())
+	slots = make([]uint16, 0, shape.Ranks*shape.Slots)
 	for _, experts := range layer {
 		for s := range shape.Slots {
 			if s < len(experts) {
@@ -157,10 +165,11 @@
 }
 
 // unflatten returns the experts of a layer by rank.
-func unflatten(m banyanplank.ExpertMap) (layer [][]uint16) {
+func unflatten(m banyanplank.ExpertMap, l int) (layer [][]uint16) {
+	slots := m.Layer(l)
 	for r := range m.Shape.Ranks {
 		experts := []uint16{}
-		for _, e := range m.Places[r*m.Shape.Slots : (r+1)*m.Shape.Slots] {
+		for _, e := range slots[r*m.Shape.Slots : (r+1)*m.Shape.Slots] {
 			if e != banyanplank.NoExpert {
 				experts = append(experts, e)
 			}
--- a/coordination/stepper/slow.go
+++ b/coordination/stepper/slow.go
@@ -8,16 +8,22 @@
 
 // noteSlow tells which endpoints of a service hold up their groups, of which one was
 // looked at.
-func (s *Stepper) noteSlow(name ensemble, endpoints []banyanplank.BackendID) {
-	s.terms[name].slow = endpoints
-	var all []banyanplank.BackendID
+func (s *Stepper) noteSlow(name ensemble, t *term, endpoints []banyanplank.BackendID) {
+	s.slow(name.service, s.slowOf(name, t, endpoints))
+}
+
+// slowOf notes the endpoints that hold up one group, and returns those of its service.
+func (s *Stepper) slowOf(name ensemble, t *term, endpoints []banyanplank.BackendID) (all []banyanplank.BackendID) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	t.slow = endpoints
 	for other, t := range s.terms {
 		if other.service == name.service {
 			all = append(all, t.slow...)
 		}
 	}
 	slices.Sort(all)
-	s.slow(name.service, all)
+	return all
 }
 
 // slow returns the endpoints that hold up the group.
--- a/coordination/stepper/slow_test.go
+++ b/coordination/stepper/slow_test.go
@@ -16,10 +16,10 @@
 	s := New(nil, nil, WithSlow(func(_ banyanplank.ServiceName, endpoints []banyanplank.BackendID) { told = endpoints }))
 	old, fresh := ensemble{"chat", "g0"}, ensemble{"chat", "g1"}
 	s.terms[old], s.terms[fresh] = &term{}, &term{}
-	s.noteSlow(old, []banyanplank.BackendID{"rank-03"})
-	s.noteSlow(fresh, nil)
+	s.noteSlow(old, s.terms[old], []banyanplank.BackendID{"rank-03"})
+	s.noteSlow(fresh, s.terms[fresh], nil)
 	is.Equal(told, []banyanplank.BackendID{"rank-03"})
 	s.forget("chat", [][]banyanplank.Backend{{{ID: "rank-03", Group: "g1"}}})
-	s.noteSlow(fresh, nil)
+	s.noteSlow(fresh, s.terms[fresh], nil)
 	is.Equal(len(told), 0)
 }
--- a/coordination/stepper/stepper.go
+++ b/coordination/stepper/stepper.go
@@ -4,9 +4,11 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/banyanplank/banyanplank"
@@ -15,13 +17,14 @@
 // The defaults of a Stepper.
 const (
 	// DefaultInterval is the time between two looks at the demand.
-	DefaultInterval = 400 * time.Millisecond
+	DefaultInterval = 200 * time.Millisecond
 	// leadBits is the width of the random part of a map id. Two entries that
 	// both believe to be the one that plans must not give one id to two maps.
 	leadBits = 16
 	// mostNumbers bounds the counts that are read in a round, and leastSample is
-	// the least number of ranks that are asked.
-	mostNumbers = 24_000
+	// the least number of ranks that are asked. When these have more, rounds are
+	// further apart.
+	mostNumbers = 12_000
 	leastSample = 8
 	// lookInterval is the time between two looks of an entry on standby. The
 	// streams of a group have then stood still for some passes of 0.1 s.
@@ -37,7 +40,12 @@
 	note     func(n Note)
 	slow     func(service banyanplank.ServiceName, endpoints []banyanplank.BackendID)
 	standing func(service banyanplank.ServiceName) bool
+	mutex    sync.Mutex
 	terms    map[ensemble]*term
+	// tended are the groups that are being looked at, and due tells when those that
+	// have many counts are looked at next.
+	tended map[ensemble]bool
+	due    map[ensemble]time.Time
 }
 
 // New returns a stepper for the groups of fleet.
@@ -50,6 +58,8 @@
 		slow:     func(banyanplank.ServiceName, []banyanplank.BackendID) {},
 		standing: func(banyanplank.ServiceName) bool { return false },
 		terms:    make(map[ensemble]*term),
+		tended:   make(map[ensemble]bool),
+		due:      make(map[ensemble]time.Time),
 	}
 	for _, option := range options {
 		option(s)
@@ -58,14 +68,17 @@
 }
 
 // Run looks at the demand at every interval until ctx ends. On standby it looks more
-// often whether a group stands still.
+// often whether a group stands still. A group whose switch takes long keeps no other
+// group waiting.
 func (s *Stepper) Run(ctx context.Context) (err error) {
+	var work conc.WaitGroup
+	defer work.Wait()
 	pause := s.interval
 	for banyanplank.Pause(ctx, pause) == nil {
 		table, backends, duty := s.fleet()
 		pause = s.interval
 		if duty != Lead || table == nil {
-			clear(s.terms)
+			s.forgetAll()
 			pause = min(lookInterval, s.interval)
 		}
 		if duty == Idle || table == nil {
@@ -79,16 +92,43 @@
 			groups := groupsOf(pool.Name, backends)
 			s.forget(pool.Name, groups)
 			for _, ranks := range groups {
-				err := s.tend(ctx, duty, pool, table.GapOf(pool.Name), ranks)
-				if err != nil && ctx.Err() == nil {
-					s.note(Note{Event: "round failed", Service: pool.Name, Err: err})
+				name := ensemble{pool.Name, ranks[0].Group}
+				if !s.begin(name) {
+					continue
 				}
+				work.Go(func() {
+					defer s.end(name, pool)
+					err := s.tend(ctx, duty, pool, table.GapOf(pool.Name), ranks)
+					if err != nil && ctx.Err() == nil {
+						s.note(Note{Event: "round failed", Service: pool.Name, Err: err})
+					}
+				})
 			}
 		}
 	}
 	return nil
 }
 
+// begin notes that a group is being looked at, and reports false if it already is.
+func (s *Stepper) begin(name ensemble) (ok bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.tended[name] || time.Now().Before(s.due[name]) {
+		return false
+	}
+	s.tended[name] = true
+	return true
+}
+
+// end notes that a group was looked at.
+func (s *Stepper) end(name ensemble, pool *banyanplank.PoolSpec) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.tended, name)
+	numbers := leastSample * pool.Engine.Layers * pool.Engine.Experts
+	s.due[name] = time.Now().Add(time.Duration(float64(numbers)/mostNumbers*float64(s.interval)) - s.interval)
+}
+
 // tend does the duty of this entry for one group.
 func (s *Stepper) tend(ctx context.Context, duty Duty, pool *banyanplank.PoolSpec, gap time.Duration, ranks []banyanplank.Backend) (err error) {
 	if duty == Standby {
@@ -135,8 +175,8 @@
 	}
 	name := ensemble{pool.Name, ranks[0].Group}
 	t := s.term(name, pool, g)
-	s.noteSlow(name, g.slow())
-	if err := g.settle(ctx); err != nil {
+	s.noteSlow(name, t, g.slow())
+	if err := g.releaseHeld(ctx); err != nil {
 		return err
 	}
 	if g.isArmed() {
@@ -201,6 +241,7 @@
 	if err == nil {
 		err = g.adopt(ctx, id)
 	}
+	t.adopted = g.adopted
 	if err == nil {
 		t.places, t.id = p.places, id
 	} else {
--- a/coordination/stepper/switch.go
+++ b/coordination/stepper/switch.go
@@ -23,27 +23,36 @@
 	// retryShare is the part of the orders without an answer up to which another
 	// try is sooner through than the late orders are carried out.
 	retryShare = 0.13
-	// armLead is how far ahead the held pass is. The orders to all ranks take a
-	// few round trips.
+	// armLead is how far ahead the held pass is, until it is known how long the
+	// orders to all ranks take.
 	armLead = 120 * time.Millisecond
-	// lossyLead is the same while orders get no answer, as each must then be
-	// given several times.
-	lossyLead = time.Second
+	// lossyTries is how many times an order can be given before the held pass while
+	// some get no answer.
+	lossyTries = 3
+	// orderPatience and rankPatience are how long an order waits for its answer, and
+	// how much longer for each rank of the group, to which orders go side by side.
+	// An endpoint answers within some milliseconds.
+	orderPatience = 60 * time.Millisecond
+	rankPatience  = time.Millisecond
 	// armLimit bounds the time for which a round tries to arm all ranks. The next
 	// round goes on with it.
 	armLimit = 10 * time.Second
 	// releaseLimit bounds the time for which a pass that must be released is
 	// ordered again.
 	releaseLimit = 10 * time.Second
-	// retryPause is the time between two orders to a rank that has not done the
-	// first.
+	// retryPause is the time between two orders to release a pass.
 	retryPause = 100 * time.Millisecond
+	// lookPause is the time between two looks at the ranks that have not done what
+	// they were ordered. To load an expert takes them tens of milliseconds.
+	lookPause = 25 * time.Millisecond
 	// usualPass is taken for the time of a pass that has not been measured, and
 	// leastPass is the least that is believed.
 	usualPass = 50 * time.Millisecond
 	leastPass = 15 * time.Millisecond
-	// leastAhead is the least number of passes by which the held pass is ahead.
-	leastAhead = 2
+	// leastAhead is the least number of passes by which the held pass is ahead. The
+	// group can't begin a held pass, so that the next one may be held: the ranks are
+	// mostly armed before it is due.
+	leastAhead = 1
 	// holdTries bounds the holds that get no answer. One that is carried out
 	// late finds that its pass has begun.
 	holdTries = 4
@@ -69,6 +78,7 @@
 // adopt brings a map that all ranks have prepared into use.
 func (g *group) adopt(ctx context.Context, id banyanplank.MapID) (err error) {
 	defer func() { err = errors.Wrapf(err, "switch to map %d", id) }()
+	began := time.Now()
 	step, err := g.hold(ctx)
 	if err != nil {
 		// An order may still have been carried out.
@@ -79,23 +89,21 @@
 	if err := g.arm(ctx, id, step); err != nil {
 		return err
 	}
+	g.adopted = time.Since(began)
 	return g.release(ctx, g.backends[0], step)
 }
 
 // hold keeps the group from beginning a pass some way ahead.
 func (g *group) hold(ctx context.Context) (step uint64, err error) {
-	for range holdTries {
+	for try := range holdTries {
 		if err := g.refresh(ctx); err != nil {
 			return 0, err
 		}
 		if g.reports[0].Held > g.step() {
 			return g.reports[0].Held, nil
 		}
-		lead := armLead
-		if g.lossy {
-			lead = lossyLead
-		}
-		step = g.step() + passesIn(lead, g.pass)
+		// A pass that has begun meanwhile can't be held.
+		step = g.step() + passesIn(g.lead(), g.pass) + uint64(try)
 		err = g.ranks.Order(ctx, g.backends[0], banyanplank.RankOrder{Kind: banyanplank.RankHold, Epoch: g.epoch, Step: step})
 		if err == nil {
 			return step, nil
@@ -105,6 +113,18 @@
 	return 0, err
 }
 
+// lead returns how long before the held pass all ranks are to be armed.
+func (g *group) lead() (lead time.Duration) {
+	switch {
+	case g.lossy:
+		return lossyTries * g.patience()
+	case g.adopted > 0:
+		return g.adopted
+	default:
+		return armLead
+	}
+}
+
 // passesIn returns how many passes ahead a pass is that begins after lead.
 func passesIn(lead, pass time.Duration) (passes uint64) {
 	if pass <= 0 {
@@ -142,6 +162,12 @@
 	if err := g.refresh(ctx); err != nil {
 		return err
 	}
+	return g.releaseHeld(ctx)
+}
+
+// releaseHeld finishes the switch before each pass that the latest reports tell is
+// held, and releases it.
+func (g *group) releaseHeld(ctx context.Context) (err error) {
 	for i, r := range g.reports {
 		if r.Held == 0 {
 			continue
--- a/coordination/stepper/term.go
+++ b/coordination/stepper/term.go
@@ -29,20 +29,35 @@
 	step   uint64
 	at     time.Time
 	pass   time.Duration
+	// adopted is how long all ranks took to be armed for the latest map.
+	adopted time.Duration
 	// slow lists the endpoints that hold up the group.
 	slow []banyanplank.BackendID
 }
 
 // forget drops what is known of groups of a service that are no longer listed.
 func (s *Stepper) forget(service banyanplank.ServiceName, groups [][]banyanplank.Backend) {
-	maps.DeleteFunc(s.terms, func(name ensemble, _ *term) (gone bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	isGone := func(name ensemble) bool {
 		isIt := func(ranks []banyanplank.Backend) bool { return ranks[0].Group == name.group }
 		return name.service == service && !slices.ContainsFunc(groups, isIt)
-	})
+	}
+	maps.DeleteFunc(s.terms, func(name ensemble, _ *term) (gone bool) { return isGone(name) })
+	maps.DeleteFunc(s.due, func(name ensemble, _ time.Time) (gone bool) { return isGone(name) })
+}
+
+// forgetAll drops what is known of all groups.
+func (s *Stepper) forgetAll() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	clear(s.terms)
 }
 
 // term returns what is known of the group, which is nothing in a new epoch.
 func (s *Stepper) term(name ensemble, pool *banyanplank.PoolSpec, g *group) (t *term) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	now, step := time.Now(), g.step()
 	t = s.terms[name]
 	if t == nil || t.epoch != g.epoch {
@@ -56,7 +71,7 @@
 		t.pass = now.Sub(t.at) / time.Duration(step-t.step)
 	}
 	t.step, t.at = step, now
-	g.pass = t.pass
+	g.pass, g.adopted = t.pass, t.adopted
 	for _, r := range g.reports {
 		t.last = max(t.last, r.Map, r.Prepared, r.Armed)
 	}
--- a/coordination/stepper/world_test.go
+++ b/coordination/stepper/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -52,6 +53,8 @@
 	// coming is the id of an order that is carried out late.
 	coming banyanplank.MapID
 	counts []uint64
+	// loaded is when the rank has copied what it prepares.
+	loaded time.Time
 }
 
 // newWorld returns a group with map 0, which places the experts by turns.
@@ -82,6 +85,11 @@
 	return w
 }
 
+// demand is the weight of an expert of one layer. Each layer has others in demand.
+func (w *world) demand(layer, expert int) float64 {
+	return w.weight[(expert+layer*len(w.weight)/3+layer)%len(w.weight)]
+}
+
 // shift puts other experts in demand, a few of them much.
 func (w *world) shift() {
 	w.mutex.Lock()
@@ -116,7 +124,7 @@
 			w.changes++
 		}
 		for i := range r.counts {
-			r.counts[i] += uint64(w.weight[i%len(w.weight)])
+			r.counts[i] += uint64(w.demand(i/len(w.weight), i%len(w.weight)))
 		}
 	}
 	for _, r := range w.ranks {
@@ -152,9 +160,13 @@
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	prepared := r.prepared
+	if time.Now().Before(r.loaded) {
+		prepared = 0
+	}
 	return banyanplank.RankReport{
 		Group: "g", Epoch: w.epoch, Rank: backend.Rank, Size: len(w.ranks), Open: true, Step: w.step,
-		Map: r.id, Prepared: r.prepared, Armed: r.armed, Held: r.held, Pace: 1,
+		Map: r.id, Prepared: prepared, Armed: r.armed, Held: r.held, Pace: 1,
 	}, nil
 }
 
@@ -233,12 +245,19 @@
 		refused = refused || (order.Map <= r.highest && order.Map != r.coming) || r.armed != 0
 		if !refused {
 			r.highest, r.coming, r.prepared, r.next = max(r.highest, order.Map), 0, order.Map, nil
-			for _, layer := range order.Places {
+			copies := 0
+			for l, layer := range order.Places {
 				r.next = append(r.next, layer[i])
+				for _, e := range layer[i] {
+					if !slices.Contains(r.places[l], e) {
+						copies++
+					}
+				}
 			}
+			r.loaded = time.Now().Add(time.Duration(float64(copies) * w.spec.Weight / w.spec.LinkRate * float64(time.Second)))
 		}
 	case banyanplank.RankArm:
-		refused = refused || order.Map != r.prepared || order.Step <= w.step
+		refused = refused || order.Map != r.prepared || time.Now().Before(r.loaded) || order.Step <= w.step
 		if !refused {
 			r.armed, r.at = order.Map, order.Step
 		}
@@ -279,7 +298,19 @@
 }
 
 // skew returns the heaviest over the mean rank, in the worst layer.
-func (w *world) skew() (worst float64) {
+func (w *world) skew() (worst float64) { return slices.Max(w.skews()) }
+
+// meanSkew returns the heaviest over the mean rank, averaged over the layers.
+func (w *world) meanSkew() (mean float64) {
+	all := w.skews()
+	for _, s := range all {
+		mean += s / float64(len(all))
+	}
+	return mean
+}
+
+// skews returns the heaviest over the mean rank, by layer.
+func (w *world) skews() (all []float64) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	total := 0.0
@@ -293,15 +324,17 @@
 				holders[e]++
 			}
 		}
+		worst := 0.0
 		for _, r := range w.ranks {
 			load := 0.0
 			for _, e := range r.places[l] {
-				load += w.weight[e] / float64(holders[e])
+				load += w.demand(l, int(e)) / float64(holders[e])
 			}
 			worst = max(worst, load/total*float64(len(w.ranks)))
 		}
+		all = append(all, worst)
 	}
-	return worst
+	return all
 }
 
 // fleet returns what a stepper that leads sees.
