--- a/coordination/balancer/balancer.go
+++ b/coordination/balancer/balancer.go
@@ -95,6 +95,9 @@
 	Out map[banyanplank.Zone]bool
 	// Entries is the number of entries that share the endpoints.
 	Entries int
+	// Gaps tells, by service, the longest pause between two events that callers
+	// take as on time.
+	Gaps map[banyanplank.ServiceName]time.Duration
 }
 
 // Renew takes in the fleet as it is now known.
@@ -272,7 +275,7 @@
 		return false
 	}
 	for _, g := range p.groups {
-		if g.stands(time.Now(), p.pace.mean) {
+		if g.stands(time.Now()) {
 			return true
 		}
 	}
@@ -286,9 +289,9 @@
 	Usable   int
 	InFlight int
 	Waiting  int
-	// Limit is the calls that one engine may run at once.
+	// Limit is the calls that one endpoint may hold, in the group that may least.
 	Limit float64
-	// Pace is the time between two events of a stream.
+	// Pace is the time between two events of a stream, in the slowest group.
 	Pace time.Duration
 }
 
--- a/coordination/balancer/herd_test.go
+++ b/coordination/balancer/herd_test.go
@@ -93,24 +93,68 @@
 	}
 }
 
-// TestPace has the limit fall while streams pause too long, and rise again.
+// TestPace has the limit fall while streams pause longer than the engine's data tell,
+// and rise again.
 func TestPace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var c pace
-		c.configure(&banyanplank.EngineSpec{Slots: 12})
-		play := func(gap time.Duration, span time.Duration) {
+		c.configure(&banyanplank.EngineSpec{Slots: 12, Step: 5 * time.Millisecond, PerSequence: time.Millisecond, Stride: 4}, 120*time.Millisecond)
+		is.Equal(c.limit(12), 12.0) // nothing known
+		play := func(slowness float64, span time.Duration) {
 			for range int(span / (10 * time.Millisecond)) {
-				c.observe(time.Now(), gap)
+				calls := c.limit(12)
+				c.observe(time.Now(), time.Duration(slowness*float64(c.pass(calls))), calls)
 				time.Sleep(10 * time.Millisecond)
 			}
 		}
-		play(60*time.Millisecond, 5*time.Second)
-		is.Equal(c.limit, 12.0)
-		play(140*time.Millisecond, 5*time.Second)
-		is.True(c.limit < 6)
-		is.True(c.limit >= leastLimit)
-		play(60*time.Millisecond, 20*time.Second)
-		is.Equal(c.limit, 12.0)
+		play(1.2, 5*time.Second)
+		is.Equal(c.limit(12), 12.0)
+		play(2.5, 5*time.Second)
+		is.True(c.limit(12) < 6)
+		is.True(c.limit(12) >= leastLimit)
+		// Passes stay below the longest pause as soon as the limit holds.
+		is.True(time.Duration(2.5*float64(c.pass(c.limit(12)))) < 120*time.Millisecond)
+		play(1.2, 5*time.Second)
+		is.Equal(c.limit(12), 12.0)
+	})
+}
+
+// TestTwoPaces has one of two groups behind a service be slow. The other keeps its
+// limit.
+func TestTwoPaces(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		spec := engine(12)
+		spec.Engine.Step, spec.Engine.PerSequence, spec.Engine.Stride = 5*time.Millisecond, time.Millisecond, 4
+		backends := endpoints("chat", 16, 12, "a")
+		for i := range backends {
+			backends[i].Group = banyanplank.GroupName([]string{"g0", "g1"}[i%2])
+		}
+		b := newTest(spec, backends, 1)
+		b.Renew(time.Now(), Fleet{Pools: []banyanplank.PoolSpec{spec}, Backends: backends, Entries: 1,
+			Gaps: map[banyanplank.ServiceName]time.Duration{"chat": 120 * time.Millisecond}})
+		var streams []*Lease
+		for range 96 {
+			lease, err := b.Acquire(t.Context(), Query{Service: "chat", Goal: 400 * time.Millisecond})
+			is.NoErr(err)
+			lease.Begun()
+			streams = append(streams, lease)
+		}
+		gaps := map[banyanplank.GroupName]time.Duration{"g0": 140 * time.Millisecond, "g1": 50 * time.Millisecond}
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			for _, l := range streams {
+				l.Event(gaps[l.Backend.Group])
+			}
+		}
+		held := make(map[banyanplank.GroupName]int)
+		for range 96 {
+			if lease, err := b.Acquire(t.Context(), Query{Service: "chat", Goal: 400 * time.Millisecond}); err == nil {
+				held[lease.Backend.Group]++
+			}
+		}
+		is.Equal(held["g0"], 0)  // its streams pause too long already
+		is.True(held["g1"] > 32) // of 48 places
 	})
 }
--- a/coordination/balancer/lease.go
+++ b/coordination/balancer/lease.go
@@ -73,7 +73,7 @@
 	defer b.mutex.Unlock()
 	now := time.Now()
 	l.seat.group.last = now
-	l.pool.pace.observe(now, gap)
+	l.seat.group.pace.observe(now, gap, l.pool.count(now, l.seat.group))
 }
 
 // Quiet returns how long no stream of the endpoint's group has gone on, so that a
@@ -105,7 +105,7 @@
 		s.group.begun--
 	}
 	s.trying = false
-	l.pool.count(now)
+	l.pool.left(now)
 	if result.Cold > 0 {
 		s.chill(now, result.Cold)
 	}
@@ -114,7 +114,7 @@
 	}
 	// When a group of ranks stands still, all its streams are cut, whichever
 	// rank was lost.
-	if l.pool.spec.Engine != nil && s.group.isSilent(now, l.pool.pace.mean) {
+	if l.pool.spec.Engine != nil && s.group.isSilent(now) {
 		result.Blameless = true
 	}
 	switch {
--- a/coordination/balancer/pace.go
+++ b/coordination/balancer/pace.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"math"
 	"time"
 
 	"github.com/banyanplank/banyanplank"
@@ -8,59 +9,74 @@
 
 // The control of how many calls an engine runs at once.
 const (
-	// gapTarget is the longest mean time between events that is aimed at.
-	// Callers count an answer as late beyond a longest pause that is stated
-	// with the route; single pauses are longer than the mean.
-	gapTarget = 95 * time.Millisecond
-	// adjustEvery is the time between two changes of the limit. Calls of a few
-	// seconds show the effect of a change only after some passes.
-	adjustEvery = 400 * time.Millisecond
+	// paceShare is the part of the longest pause on time that passes may take in
+	// the mean. Single ones take longer, as prompts are read between them.
+	paceShare = 0.7
+	// slownessMemory is the time in which what was measured before counts 1/e. Maps
+	// follow a shift of the demand in less, so that a short slow time doesn't
+	// refuse callers whose streams would begin after it.
+	slownessMemory = 500 * time.Millisecond
 	// leastLimit keeps an engine in use while its pace recovers.
 	leastLimit = 3
-	// raise and lower are how much the limit changes at a time.
-	raise = 0.5
-	lower = 0.9
-	// headroom is the part of the target below which the limit may rise.
-	headroom = 0.85
 	// gapDecay is the weight of the latest gap in the mean.
 	gapDecay = 0.05
 )
 
-// pace measures the passes of the engines of a service, and bounds the calls
-// that each runs so that streams go on without long pauses.
+// pace measures the passes of a group of engines, and bounds the calls that each runs
+// so that streams go on without long pauses. The engine's data tell what a pass takes by
+// the calls in it. How much longer it does take, for uneven experts, slow ranks and
+// prompts that are read, is measured.
 type pace struct {
-	slots float64
-	limit float64
-	mean  time.Duration
-	next  time.Time
+	engine banyanplank.EngineSpec
+	// gap is the longest pause on time, or zero.
+	gap  time.Duration
+	mean time.Duration
+	// slowness is how many times longer passes take than the engine's data tell.
+	slowness float64
+	at       time.Time
 }
 
-// configure takes in the engine's slots.
-func (c *pace) configure(engine *banyanplank.EngineSpec) {
-	if engine == nil {
-		return
-	}
-	if c.limit == 0 {
-		c.limit = float64(engine.Slots)
+// configure takes in the engine's data and the longest pause that callers take as on
+// time.
+func (c *pace) configure(engine *banyanplank.EngineSpec, gap time.Duration) {
+	c.gap = gap
+	if engine != nil {
+		c.engine = *engine
 	}
-	c.slots = float64(engine.Slots)
-	c.limit = min(c.limit, c.slots)
 }
 
-// observe takes in the time between two events of a stream.
-func (c *pace) observe(now time.Time, gap time.Duration) {
+// observe takes in the time between two events of a stream, while each engine of the
+// group has calls in the mean.
+func (c *pace) observe(now time.Time, gap time.Duration, calls float64) {
 	if c.mean == 0 {
 		c.mean = gap
 	}
 	c.mean += time.Duration(gapDecay * float64(gap-c.mean))
-	if now.Before(c.next) || c.limit == 0 {
+	usual := c.pass(max(1, calls))
+	if usual == 0 {
 		return
 	}
-	c.next = now.Add(adjustEvery)
-	switch {
-	case c.mean > gapTarget:
-		c.limit = max(leastLimit, c.limit*lower)
-	case c.mean < time.Duration(headroom*float64(gapTarget)):
-		c.limit = min(c.slots, c.limit+raise)
+	slowness := gap.Seconds() / usual.Seconds()
+	if c.slowness == 0 {
+		c.slowness = slowness
+	}
+	weight := 1 - math.Exp(-now.Sub(c.at).Seconds()/slownessMemory.Seconds())
+	c.slowness += weight * (slowness - c.slowness)
+	c.at = now
+}
+
+// pass returns how long a pass with so many calls takes by the engine's data.
+func (c *pace) pass(calls float64) (usual time.Duration) {
+	step := c.engine.Step.Seconds() + calls*c.engine.PerSequence.Seconds()
+	return time.Duration(float64(max(1, c.engine.Stride)) * step * float64(time.Second))
+}
+
+// limit returns the calls that each engine may run with passes as slow as now.
+func (c *pace) limit(slots float64) (calls float64) {
+	if c.gap == 0 || c.slowness == 0 || c.engine.PerSequence == 0 {
+		return slots
 	}
+	step := paceShare * c.gap.Seconds() / c.slowness / float64(max(1, c.engine.Stride))
+	calls = (step - c.engine.Step.Seconds()) / c.engine.PerSequence.Seconds()
+	return min(slots, max(leastLimit, calls))
 }
--- a/coordination/balancer/pool.go
+++ b/coordination/balancer/pool.go
@@ -73,7 +73,6 @@
 	entries int
 	waiting []*waiter
 	budget  budget
-	pace    pace
 	// finished counts the calls that left in the current second, and rate the
 	// calls that left in the last one.
 	finished float64
@@ -110,7 +109,6 @@
 	entries := max(1, fleet.Entries)
 	p.entries = entries
 	p.budget.slack = float64(p.owner.slack) / float64(entries)
-	p.pace.configure(spec.Engine)
 	listed, present := make(map[banyanplank.BackendID]bool), make(map[banyanplank.GroupName]bool)
 	for _, backend := range fleet.Backends {
 		if backend.Service != spec.Name {
@@ -122,11 +120,12 @@
 			g = &group{}
 			p.groups[backend.Group] = g
 		}
+		g.pace.configure(spec.Engine, fleet.Gaps[spec.Name])
 		s := p.seats[backend.ID]
 		if s == nil || s.backend.Address != backend.Address || !s.backend.Born.Equal(backend.Born) {
 			s = newSeat(p, g)
 			p.seats[backend.ID] = s
-			if spec.Engine != nil && g.isDown(now, p.pace.mean) {
+			if spec.Engine != nil && g.isDown(now) {
 				g.opens = now.Add(formTime)
 			}
 		}
@@ -159,7 +158,7 @@
 	if p.spec.Engine == nil {
 		return float64(slots * plainQueue)
 	}
-	return min(float64(slots), p.pace.limit)
+	return s.group.pace.limit(float64(slots))
 }
 
 // admit gives a call a place, lets it wait, or refuses it.
@@ -322,8 +321,8 @@
 	p.waiting = nil
 }
 
-// count notes that a call has left.
-func (p *pool) count(now time.Time) {
+// left notes that a call has left.
+func (p *pool) left(now time.Time) {
 	if passed := now.Sub(p.since); passed >= time.Second {
 		p.rate = p.finished / passed.Seconds()
 		p.finished, p.since = 0, now
@@ -333,9 +332,15 @@
 
 // status describes the pool.
 func (p *pool) status(now time.Time) (status PoolStatus) {
-	status = PoolStatus{Service: p.spec.Name, Backends: len(p.order), Waiting: len(p.waiting), Limit: p.pace.limit, Pace: p.pace.mean}
+	status = PoolStatus{Service: p.spec.Name, Backends: len(p.order), Waiting: len(p.waiting)}
+	for _, g := range p.groups {
+		status.Pace = max(status.Pace, g.pace.mean)
+	}
 	for _, s := range p.order {
 		status.InFlight += s.own
+		if limit := p.limit(s); status.Limit == 0 || limit < status.Limit {
+			status.Limit = limit
+		}
 		if s.isUsable(now) {
 			status.Usable++
 		}
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -90,7 +90,11 @@
 	}
 	fleet := balancer.Fleet{Backends: snapshot.Backends, Out: snapshot.Out, Entries: snapshot.Alive}
 	if snapshot.Router != nil {
-		fleet.Pools = snapshot.Router.Table().Pools
+		table := snapshot.Router.Table()
+		fleet.Pools, fleet.Gaps = table.Pools, make(map[banyanplank.ServiceName]time.Duration)
+		for _, pool := range table.Pools {
+			fleet.Gaps[pool.Name] = table.GapOf(pool.Name)
+		}
 	}
 	d.balancer.Renew(time.Now(), fleet)
 	known := make(map[banyanplank.BackendID]bool, len(snapshot.Backends))
