--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -65,7 +65,10 @@
 		dialect:   dialect,
 		logger:    logger,
 		counters:  newCounters(),
+		holder:    newHolder(settings.Limits),
 	}
+	d.gateway.counters.set.NewGauge("banyanplank_held_bytes", func() float64 { return float64(d.gateway.holder.used.Load()) })
+	d.gateway.counters.set.NewGauge("banyanplank_held_limit_bytes", func() float64 { return float64(d.gateway.holder.most) })
 	d.stepper = stepper.New(ranks, d.fleet, stepper.WithNotes(d.noteStep), stepper.WithSlow(d.noteSlow),
 		stepper.WithZone(settings.Zone), stepper.WithStanding(d.balancer.Stands))
 	d.loop = banyanplank.NewLoop(model, executor{d}, banyanplank.WithTick(surveyor.TickInterval), banyanplank.WithAfter(d.publish))
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -59,6 +58,8 @@
 	ran bool
 	// stream is the state of an answer that is passed on event by event.
 	stream stream
+	// held is the memory that the call holds for its caller and its endpoint.
+	held   share
 	result outcome
 }
 
@@ -190,7 +191,8 @@
 	return max(leastPatience, patienceGoals*f.goal())
 }
 
-// isStuck reports whether a silent endpoint should be left for another one.
+// isStuck reports whether an endpoint that has not answered should be left for another
+// one.
 func (f *flow) isStuck() bool {
 	if f.sends+1 >= f.route.Attempts || !f.hasTime() {
 		return false
@@ -201,6 +203,12 @@
 	return true
 }
 
+// isStalled reports whether an endpoint whose stream has stopped, and which is counted
+// among the sends, should be left for another one.
+func (f *flow) isStalled() bool {
+	return f.route.Resumable && f.sends < f.route.Attempts && f.hasTime() && f.lease.Quiet() < aliveAge
+}
+
 // hasTime reports whether another attempt could still succeed.
 func (f *flow) hasTime() bool { return time.Until(f.deadline) > f.goal()/4 }
 
@@ -218,7 +226,7 @@
 
 // misdirected decides on a call that reached another endpoint at the address.
 func (f *flow) misdirected(exchange *requester.Exchange) (done bool) {
-	drain(exchange)
+	exchange.Drain()
 	f.result.detail = "misdirected: " + string(f.lease.Backend.ID) + " is gone"
 	return f.missed(balancer.Misdirected)
 }
@@ -234,14 +242,6 @@
 	return true
 }
 
-// drain reads the rest of an answer that is not passed on, so that the connection
-// can be used again.
-func drain(exchange *requester.Exchange) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(exchange.Response.Body, maxAnswer)); err == nil {
-		exchange.Whole()
-	}
-}
-
 // broken decides on a call that an endpoint may have run, and whose answer broke.
 func (f *flow) broken(err error) (done bool) {
 	f.ran = true
@@ -267,7 +267,7 @@
 
 // declined decides on a call that the endpoint has not run.
 func (f *flow) declined(exchange *requester.Exchange) (done bool) {
-	drain(exchange)
+	exchange.Drain()
 	faulty := exchange.Reply.Faulty
 	f.lease.Finish(balancer.Result{
 		Kind:      balancer.Declined,
@@ -285,12 +285,10 @@
 // deliver passes on an answer once it is whole.
 func (f *flow) deliver(exchange *requester.Exchange) (done bool) {
 	response := exchange.Response
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	body, err := f.held.read(response.Body, maxAnswer)
 	switch {
 	case err != nil:
 		return f.broken(errors.Wrap(err, "read answer"))
-	case len(body) == maxAnswer:
-		return f.broken(errors.Newf("answer of over %d bytes", maxAnswer))
 	case response.StatusCode < http.StatusMultipleChoices && !exchange.Reply.Sealed:
 		return f.broken(errors.New("answer without seal"))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,9 @@
 	// retryUnready is when callers may find that the entry has its routes: it
 	// reads them from the platform's store within some round trips.
 	retryUnready = 300 * time.Millisecond
+	// retryHeld is when callers may find that the entry has memory for their call
+	// again: those that hold it end within seconds.
+	retryHeld = time.Second
 )
 
 // Gateway is the HTTP handler for callers.
@@ -35,6 +38,7 @@
 	dialect   banyanplank.Dialect
 	logger    *log.Logger
 	counters  *counters
+	holder    *holder
 	draining  atomic.Bool
 	running   atomic.Int64
 }
@@ -43,7 +47,8 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.running.Add(1)
 	defer g.running.Add(-1)
-	f := &flow{gateway: g, writer: w, request: r, arrived: time.Now(), info: g.dialect.Call(r.Header)}
+	f := &flow{gateway: g, writer: w, request: r, arrived: time.Now(), info: g.dialect.Call(r.Header), held: share{holder: g.holder}}
+	defer f.held.release()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -116,11 +121,13 @@
 	if f.request.ContentLength == 0 {
 		return nil, nil
 	}
-	body, err = io.ReadAll(io.LimitReader(f.request.Body, limit+1))
-	if err != nil {
+	body, err = f.held.read(io.LimitReader(f.request.Body, limit+1), limit+1)
+	switch {
+	case errors.Is(err, errHeld):
+		return nil, &httpError{status: http.StatusServiceUnavailable, detail: err.Error(), after: retryHeld}
+	case err != nil:
 		return nil, errors.Wrap(err, "read body")
-	}
-	if int64(len(body)) > limit {
+	case int64(len(body)) > limit:
 		return nil, &httpError{status: http.StatusRequestEntityTooLarge, detail: "body too large"}
 	}
 	return body, nil
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -44,6 +44,9 @@
 type Limits struct {
 	// Memory is the memory of the instance in bytes.
 	Memory int64 `toml:"memory"`
+	// Held bounds the bytes of bodies, answers and events that all calls hold
+	// together. Zero means a quarter of the memory.
+	Held int64 `toml:"held"`
 	// Share, Slack and Span bound the repeats to one service by all entries: a
 	// share of its requests, and a number, in a span.
 	Share float64              `toml:"share"`
@@ -120,6 +123,7 @@
 		{"listen.peer", s.Listen.Peer.IsValid(), "want an address such as 10.0.0.1:8083"},
 		{"platform", s.Platform.IsValid(), "want the address of the platform's store"},
 		{"limits.memory", s.Limits.Memory >= 32<<20, "want at least 33554432 bytes"},
+		{"limits.held", s.Limits.Held >= 0, "want a number of bytes, or 0 for a quarter of the memory"},
 		{"limits.share", s.Limits.Share >= 0, "want a share of at least 0"},
 		{"limits.slack", s.Limits.Slack >= 0, "want a number of at least 0"},
 		{"limits.span", s.Limits.Span > 0, "want a time above 0s"},
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -23,6 +23,8 @@
 	aliveAge = 300 * time.Millisecond
 	// readSize is the size of the buffer for events in bytes.
 	readSize = 4096
+	// maxEvent bounds an event in bytes.
+	maxEvent = 256 << 10
 )
 
 // stream is the state of an answer that is passed on event by event.
@@ -69,20 +71,31 @@
 // copyEvents passes on whole events until the answer ends. An error means that
 // it broke off.
 func (f *flow) copyEvents(exchange *requester.Exchange) (err error) {
-	buffer := make([]byte, 0, readSize)
+	if err := f.held.take(readSize); err != nil {
+		return err
+	}
+	buffer, progress := make([]byte, 0, readSize), time.Now()
 	for {
 		rest, err := f.forward(exchange, buffer)
 		if err != nil {
 			return err
 		}
+		if len(rest) < len(buffer) {
+			progress = time.Now()
+		}
+		// An endpoint that sends bytes but no events is as silent as one that sends
+		// nothing.
+		if time.Since(progress) > streamPatience && f.isStalled() {
+			return requester.ErrSilent
+		}
 		buffer = append(buffer[:0], rest...)
-		if len(buffer) == cap(buffer) {
-			buffer = append(buffer, make([]byte, cap(buffer))...)[:len(buffer)]
+		if buffer, err = f.makeRoom(buffer); err != nil {
+			return err
 		}
 		if f.sends < f.route.Attempts && f.route.Resumable && f.gateway.balancer.IsSlow(f.lease.Backend.ID) {
 			return errSlow
 		}
-		if err := exchange.Await(f.ctx, streamPatience, f.isStuck); err != nil {
+		if err := exchange.Await(f.ctx, streamPatience, f.isStalled); err != nil {
 			return err
 		}
 		n, err := exchange.Response.Body.Read(buffer[len(buffer):cap(buffer)])
@@ -100,6 +113,20 @@
 	}
 }
 
+// makeRoom returns the buffer with room for more of an event.
+func (f *flow) makeRoom(buffer []byte) (grown []byte, err error) {
+	if len(buffer) < cap(buffer) {
+		return buffer, nil
+	}
+	if cap(buffer) >= maxEvent {
+		return nil, errors.Newf("event of over %d bytes", maxEvent)
+	}
+	if err := f.held.take(int64(cap(buffer))); err != nil {
+		return nil, err
+	}
+	return append(make([]byte, 0, 2*cap(buffer)), buffer...), nil
+}
+
 // eventEnd separates events.
 var eventEnd = []byte("\n\n")
 
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -118,6 +118,7 @@
 		dialect:   dialect{},
 		logger:    logger.New(w.log),
 		counters:  newCounters(),
+		holder:    newHolder(Limits{Memory: 64 << 20}),
 	}
 	w.gateway.balancer.Renew(time.Now(), balancer.Fleet{Pools: table.Pools, Backends: snapshot.Backends, Entries: 1})
 	w.server = httptest.NewServer(w.gateway)
--- a/transport/requester/requester.go
+++ b/transport/requester/requester.go
@@ -36,6 +36,12 @@
 	maxStray = 2
 	// bufferSize is the size of a connection's read buffer in bytes.
 	bufferSize = 4096
+	// DefaultHead bounds the bytes until an answer's body begins, interim answers
+	// included. The users' endpoints send some hundred.
+	DefaultHead = 64 << 10
+	// maxStrayBody bounds the body of an answer to another call that is skipped, in
+	// bytes.
+	maxStrayBody = 1 << 20
 )
 
 // Call is what an endpoint is asked.
@@ -78,11 +84,17 @@
 	return func(r *Requester) { r.dial.Timeout = timeout }
 }
 
+// WithHead bounds the bytes of an answer's head. The default is [DefaultHead].
+func WithHead(bytes int) Option {
+	return func(r *Requester) { r.head = bytes }
+}
+
 // Requester keeps connections to endpoints. Its methods may be called from many
 // goroutines.
 type Requester struct {
 	dialect banyanplank.Dialect
 	dial    net.Dialer
+	head    int
 	mutex   sync.Mutex
 	kept    map[banyanplank.BackendID][]*conn
 }
@@ -92,6 +104,7 @@
 	r := &Requester{
 		dialect: dialect,
 		dial:    net.Dialer{Timeout: DefaultDial, KeepAlive: -1},
+		head:    DefaultHead,
 		kept:    make(map[banyanplank.BackendID][]*conn),
 	}
 	for _, option := range options {
@@ -107,6 +120,26 @@
 	used   time.Time
 	// keep is how long the endpoint keeps the connection without use.
 	keep time.Duration
+	// head is how many bytes may still come before the head of an answer ends,
+	// while inHead is set.
+	head   int
+	inHead bool
+}
+
+// ErrHead means that an endpoint sends bytes that are no answer, or a head without end.
+var ErrHead = errors.New("head of the answer is too long")
+
+// Read implements io.Reader. It ends a head that is too long.
+func (c *conn) Read(p []byte) (n int, err error) {
+	if !c.inHead {
+		return c.Conn.Read(p)
+	}
+	if c.head <= 0 {
+		return 0, ErrHead
+	}
+	n, err = c.Conn.Read(p[:min(len(p), c.head)])
+	c.head -= n
+	return n, err
 }
 
 // interrupt ends reads and writes. One that fails finds the connection closed,
@@ -156,7 +189,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: plain, reader: bufio.NewReaderSize(plain, bufferSize), keep: DefaultIdle}, nil
+	c = &conn{Conn: plain, keep: DefaultIdle}
+	c.reader = bufio.NewReaderSize(c, bufferSize)
+	return c, nil
 }
 
 // take returns the connection that was used last, or nil when it is too old.
@@ -229,7 +264,7 @@
 			e.Response, e.Reply = response, reply
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
+		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBody)); err != nil || n == maxStrayBody || response.Close {
 			return &Error{Sent: true, Err: errors.Newf("answer to call %q instead of %q", reply.Attempt, call.Attempt)}
 		}
 	}
@@ -238,6 +273,8 @@
 
 // read reads the head of the next final answer.
 func (e *Exchange) read(method string) (response *http.Response, err error) {
+	e.conn.head, e.conn.inHead = e.owner.head, true
+	defer func() { e.conn.inHead = false }()
 	for {
 		response, err = http.ReadResponse(e.conn.reader, &http.Request{Method: method})
 		if err != nil {
@@ -320,6 +357,24 @@
 	return nil
 }
 
+// The bounds on the rest of an answer that nobody wants. To read more costs more than a
+// new connection.
+const (
+	drainBytes = 16 << 10
+	drainTime  = 50 * time.Millisecond
+)
+
+// Drain reads the rest of an answer that is not passed on, so that the connection can be
+// used again, unless it is long or slow.
+func (e *Exchange) Drain() {
+	if e.conn.SetReadDeadline(time.Now().Add(drainTime)) != nil {
+		return
+	}
+	if n, err := io.Copy(io.Discard, io.LimitReader(e.Response.Body, drainBytes)); err == nil && n < drainBytes {
+		e.Whole()
+	}
+}
+
 // Whole tells that the answer was read to its end, so that the connection can
 // serve another call.
 func (e *Exchange) Whole() { e.whole = true }
