--- a/coordination/balancer/pace.go
+++ b/coordination/balancer/pace.go
@@ -16,8 +16,10 @@
 	// follow a shift of the demand in less, so that a short slow time doesn't
 	// refuse callers whose streams would begin after it.
 	slownessMemory = 500 * time.Millisecond
-	// leastLimit keeps an engine in use while its pace recovers.
-	leastLimit = 3
+	// leastOutput is the part of its calls a second that an engine must still finish
+	// to run fewer at once. Below that all are served, late, rather than most refused:
+	// callers count a late answer for about half.
+	leastOutput = 0.6
 	// gapDecay is the weight of the latest gap in the mean.
 	gapDecay = 0.05
 )
@@ -78,5 +80,13 @@
 	}
 	step := paceShare * c.gap.Seconds() / c.slowness / float64(max(1, c.engine.Stride))
 	calls = (step - c.engine.Step.Seconds()) / c.engine.PerSequence.Seconds()
-	return min(slots, max(leastLimit, calls))
+	if calls >= slots || c.output(calls) < leastOutput*c.output(slots) {
+		return slots
+	}
+	return calls
+}
+
+// output returns the events a second of an engine with so many calls, by its data.
+func (c *pace) output(calls float64) (events float64) {
+	return max(0, calls) / c.pass(max(0, calls)).Seconds()
 }
