--- a/coordination/balancer/lease.go
+++ b/coordination/balancer/lease.go
@@ -38,7 +38,8 @@
 	Blameless bool
 }
 
-// Lease is the right to send one call to an endpoint. Finish it exactly once.
+// Lease is the right to send one call to an endpoint. Finish it; only the first time
+// counts.
 type Lease struct {
 	Backend *banyanplank.Backend
 	// Own and Others are the calls of this entry and of its peers that the
@@ -50,6 +51,7 @@
 	seat   *seat
 	prompt int
 	begun  bool
+	done   bool
 	began  time.Time
 }
 
@@ -97,6 +99,10 @@
 	b := l.pool.owner
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	if l.done {
+		return
+	}
+	l.done = true
 	s := l.seat
 	l.read()
 	s.own--
--- a/coordination/stepper/stepper.go
+++ b/coordination/stepper/stepper.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/banyanplank/banyanplank"
@@ -98,7 +99,10 @@
 				}
 				work.Go(func() {
 					defer s.end(name, pool)
-					err := s.tend(ctx, duty, pool, table.GapOf(pool.Name), ranks)
+					var caught panics.Catcher
+					var err error
+					caught.Try(func() { err = s.tend(ctx, duty, pool, table.GapOf(pool.Name), ranks) })
+					err = errors.CombineErrors(err, caught.Recovered().AsError())
 					if err != nil && ctx.Err() == nil {
 						s.note(Note{Event: "round failed", Service: pool.Name, Err: err})
 					}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer f.record()
+	defer f.recover()
 	if err := f.open(); err != nil {
 		f.refuse(err)
 		return
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -1,12 +1,17 @@
 package gateway
 
 import (
+	"bytes"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/balancer"
 )
 
 // counters are the metrics of an entry.
@@ -65,6 +70,24 @@
 	}
 }
 
+// recover ends a call whose handling has failed unexpectedly. Other calls go on. The
+// caller's connection is closed, which promises nothing.
+func (f *flow) recover() {
+	caught := recover()
+	if caught == nil {
+		return
+	}
+	if err, ok := caught.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+		f.gateway.counters.set.GetOrCreateCounter("banyanplank_panics_total").Inc()
+		f.result.reason = "panic"
+		if f.lease != nil {
+			f.finish(balancer.Abandoned)
+		}
+		f.result.detail = fmt.Sprintf("%v at %s", caught, bytes.ReplaceAll(debug.Stack(), []byte("\n"), []byte(" ")))
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // record writes the log line of a call and counts it.
 func (f *flow) record() {
 	f.gateway.counters.count(f)
