--- a/coordination/beater/beater_test.go
+++ b/coordination/beater/beater_test.go
@@ -4,13 +4,17 @@
 	"context"
 	"net"
 	"net/netip"
+	"reflect"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/protocol/pulser"
 )
 
 // address returns a free datagram address.
@@ -57,8 +61,22 @@
 }
 
 func TestDecodeRejects(t *testing.T) {
+	pulse := func(change func(p *pulser.Pulse)) string {
+		p := &pulser.Pulse{From: "a", Peer: []byte{10, 0, 0, 1, 31, 144}}
+		change(p)
+		text, err := proto.Marshal(p)
+		is.New(t).NoErr(err)
+		return string(text)
+	}
 	for name, text := range map[string]string{
-		"no JSON": "{", "no sender": `{"peer":"10.0.0.1:1"}`, "no address": `{"from":"a"}`, "another type": `{"from":1}`,
+		"no message":     "{",
+		"JSON":           `{"from":"a","peer":"10.0.0.1:1"}`,
+		"no sender":      pulse(func(p *pulser.Pulse) { p.From = "" }),
+		"no address":     pulse(func(p *pulser.Pulse) { p.Peer = nil }),
+		"half a port":    pulse(func(p *pulser.Pulse) { p.Peer = p.Peer[:5] }),
+		"no count":       pulse(func(p *pulser.Pulse) { p.Endpoints = []string{"x"} }),
+		"no revision":    pulse(func(p *pulser.Pulse) { p.Topics = []string{"x"} }),
+		"cut in a field": pulse(func(*pulser.Pulse) {})[:4],
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := decode([]byte(text))
@@ -66,3 +84,57 @@
 		})
 	}
 }
+
+// TestEncodeTellsAll has whatever a heartbeat says arrive.
+func TestEncodeTellsAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		name := rapid.StringMatching(`[a-z0-9-]{1,12}`)
+		address := rapid.SampledFrom([]string{"10.1.0.40:8227", "10.255.255.255:65535", "[fd00::1]:1"})
+		sent := &Beat{
+			From:        banyanplank.DaemonID(name.Draw(t, "from")),
+			Incarnation: banyanplank.Incarnation(rapid.Uint64().Draw(t, "incarnation")),
+			Sequence:    rapid.Uint64().Draw(t, "sequence"),
+			Zone:        banyanplank.Zone(name.Draw(t, "zone")),
+			Peer:        netip.MustParseAddrPort(address.Draw(t, "peer")),
+			Caller:      netip.MustParseAddrPort(address.Draw(t, "caller")),
+			Ready:       rapid.Bool().Draw(t, "ready"),
+			Blind:       rapid.Bool().Draw(t, "blind"),
+			Watches:     rapid.Bool().Draw(t, "watches"),
+			InFlight:    map[banyanplank.BackendID]int{},
+			Revisions:   map[banyanplank.Topic]banyanplank.Version{},
+		}
+		for _, id := range rapid.SliceOfDistinct(name, func(s string) string { return s }).Draw(t, "endpoints") {
+			sent.InFlight[banyanplank.BackendID(id)] = rapid.IntRange(1, 100).Draw(t, "calls")
+			sent.Slow = append(sent.Slow, banyanplank.BackendID(id))
+			sent.Revisions[banyanplank.Topic(id)] = banyanplank.Version(rapid.Uint64().Draw(t, "revision"))
+		}
+		text, err := encode(sent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := decode(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(got, sent) {
+			t.Fatalf("sent %+v, got %+v", sent, got)
+		}
+	})
+}
+
+// TestBeatIsSmall has a heartbeat of the users' grown deployments stay within the bytes
+// that control may take: one to each of 32 entries of other zones every 0.7 s within
+// 10 kB a second.
+func TestBeatIsSmall(t *testing.T) {
+	is := is.New(t)
+	beat := &Beat{
+		From: "front-kathmandu-a-12", Incarnation: 1792411275012886564, Sequence: 400, Zone: "kathmandu-a",
+		Peer: netip.MustParseAddrPort("10.1.0.40:7340"), Caller: netip.MustParseAddrPort("10.1.0.40:8227"),
+		Ready: true, InFlight: map[banyanplank.BackendID]int{"i-0cbe7a5051": 1, "i-6838c98f06": 2},
+		Revisions: map[banyanplank.Topic]banyanplank.Version{"routing": 3000, "backends": 3100, "zonesout": 2000, "members": 2900},
+	}
+	text, err := encode(beat)
+	is.NoErr(err)
+	t.Log(len(text))
+	is.True(len(text) <= 220)
+}
