--- a/coordination/surveyor/members.go
+++ b/coordination/surveyor/members.go
@@ -86,22 +86,46 @@
 	return false
 }
 
-// watches reports whether this entry has to watch the platform for others. The
-// first of a zone does. A later one does while all before it are blind: the second
-// always, the others only while someone can see the platform, so that not all
-// call it while it is down.
-func (m *Model) watches() bool {
+// The times after which an entry watches.
+const (
+	// watchGrace is how long an entry that has just started waits for the heartbeats
+	// of its zone, which come every 120 ms. When all start together, all would watch.
+	watchGrace = 400 * time.Millisecond
+	// takeoverDelay is how long all before an entry must be blind while someone can see
+	// the platform. The heartbeats of other zones take 0.72 s to tell that nobody can.
+	takeoverDelay = time.Second
+)
+
+// watch decides whether this entry watches the platform for others.
+func (m *Model) watch(now time.Time) (watches bool) {
+	if m.began.IsZero() {
+		m.began = now
+	}
+	first, takeover := m.mayWatch()
+	if !takeover {
+		m.wanted = time.Time{}
+	} else if m.wanted.IsZero() {
+		m.wanted = now
+	}
+	return now.Sub(m.began) >= watchGrace && (first || (takeover && now.Sub(m.wanted) >= takeoverDelay))
+}
+
+// mayWatch reports whether this entry is the first of its zone that has to watch the
+// platform for others, or has to take over from them. The first of a zone watches. A
+// later one does while all before it are blind: the second always, the others only
+// while someone can see the platform, so that not all call it while it is down.
+func (m *Model) mayWatch() (first, takeover bool) {
 	before := 0
 	for id, s := range m.members {
 		if !s.alive || s.member.Zone != m.self.Zone || id > m.self.ID {
 			continue
 		}
 		if !s.blind {
-			return false
+			return false, false
 		}
 		before++
 	}
-	return before < 2 || m.isSeenByPeers()
+	return before < 2, before >= 2 && m.isSeenByPeers()
 }
 
 // ageOf returns how old the last heartbeat of a live entry may be.
--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -100,6 +100,10 @@
 	draining bool
 	// dark is when no entry that watches could last see the platform.
 	dark time.Time
+	// began is when the entry started, and wanted since when it has to take over from
+	// blind entries of its zone.
+	began  time.Time
+	wanted time.Time
 	// registered tells that the own entry was written, asked when that was
 	// last tried.
 	registered bool
@@ -149,7 +153,7 @@
 		topics:  make(map[banyanplank.Topic]*topic),
 	}
 	m.snapshot = &Snapshot{}
-	m.publish()
+	m.publish(false)
 	return m
 }
 
@@ -176,8 +180,8 @@
 	case banyanplank.TickMsg:
 		changed = m.tick(now)
 	}
-	if changed {
-		m.publish()
+	if watches := m.watch(now); changed || watches != m.snapshot.Watches {
+		m.publish(watches)
 	}
 	return m, m.notes
 }
@@ -263,8 +267,8 @@
 	return changed
 }
 
-// publish makes a new snapshot.
-func (m *Model) publish() {
+// publish makes a new snapshot of an entry that watches the platform or doesn't.
+func (m *Model) publish(watches bool) {
 	s := &Snapshot{
 		Router:    m.router,
 		Out:       make(map[banyanplank.Zone]bool, len(m.out)),
@@ -294,7 +298,7 @@
 		}
 	}
 	slices.SortFunc(s.Entries, func(a, b banyanplank.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	s.Watches = m.watches()
+	s.Watches = watches
 	// Of two parts of the entries that don't hear each other, one leads at most.
 	most := s.Ready && 2*s.Alive > len(m.members)+1
 	s.Leads = most && s.Entries[0].ID == m.self.ID
--- a/coordination/surveyor/surveyor_test.go
+++ b/coordination/surveyor/surveyor_test.go
@@ -283,8 +283,12 @@
 				members = append(members, banyanplank.Listed{Key: id, Value: banyanplank.Member{ID: banyanplank.DaemonID(id), Incarnation: 1}})
 			}
 			p.play(topicMsg(banyanplank.TopicMembers, 1, true, members...))
-			for _, b := range test.beats {
-				p.play(b)
+			is.Equal(p.model.Snapshot().Watches, false) // others may be before it
+			for range int((watchGrace+takeoverDelay)/TickInterval) + 1 {
+				for _, b := range test.beats {
+					p.play(b)
+				}
+				p.after(TickInterval)
 			}
 			is.Equal(p.model.Snapshot().Watches, test.watches)
 			is.Equal(p.model.Snapshot().Leads, test.leads)
@@ -292,6 +296,56 @@
 	}
 }
 
+// TestStartOfAll has 40 entries of 4 zones start together and hear each other after a
+// moment. One of each zone watches the platform, at any time.
+func TestStartOfAll(t *testing.T) {
+	is := is.New(t)
+	var players []*player
+	var beats []HeardMsg
+	for i := range 40 {
+		zone := banyanplank.Zone(fmt.Sprint("z", i%4))
+		p := newPlayer(banyanplank.DaemonID(fmt.Sprintf("e%02d", i)))
+		p.model.self.Zone = zone
+		players = append(players, p)
+		beats = append(beats, beat(fmt.Sprintf("e%02d", i), zone, true, false))
+	}
+	for tick := range 10 {
+		watching := 0
+		for i, p := range players {
+			if p.after(TickInterval).Watches {
+				watching++
+			}
+			for j, b := range beats {
+				if i != j && i%4 == j%4 {
+					p.play(b)
+				}
+			}
+		}
+		is.True(watching <= 4)
+		if tick >= 3 {
+			is.Equal(watching, 4)
+		}
+	}
+}
+
+// TestOutageOfAll has the platform turn all away. No more than two entries of a zone
+// watch it, also while some have not yet heard that the other zones' are blind.
+func TestOutageOfAll(t *testing.T) {
+	is := is.New(t)
+	p := newPlayer("e2")
+	p.after(time.Second)
+	far := watching(beat("e3", "b", true, false))
+	for tick := range 10 {
+		p.play(beat("e0", "a", true, true))
+		p.play(beat("e1", "a", true, true))
+		if tick == 0 || tick == 4 { // heartbeats of other zones come more rarely
+			far.Beat.Blind = tick == 4
+			p.play(far)
+		}
+		is.Equal(p.after(TickInterval).Watches, false)
+	}
+}
+
 // TestRegister has an entry register until it is listed, again when its entry is
 // gone, and remove entries that were silent for long.
 func TestRegister(t *testing.T) {
