--- a/coordination/stepper/stepper.go
+++ b/coordination/stepper/stepper.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/panics"
-	"github.com/sourcegraph/conc/pool"
 
 	"github.com/banyanplank/banyanplank"
 )
@@ -93,20 +92,9 @@
 			groups := groupsOf(pool.Name, backends)
 			s.forget(pool.Name, groups)
 			for _, ranks := range groups {
-				name := ensemble{pool.Name, ranks[0].Group}
-				if !s.begin(name) {
-					continue
+				if name := (ensemble{pool.Name, ranks[0].Group}); s.begin(name) {
+					work.Go(func() { s.attend(ctx, name, duty, pool, table.GapOf(pool.Name), ranks) })
 				}
-				work.Go(func() {
-					defer s.end(name, pool)
-					var caught panics.Catcher
-					var err error
-					caught.Try(func() { err = s.tend(ctx, duty, pool, table.GapOf(pool.Name), ranks) })
-					err = errors.CombineErrors(err, caught.Recovered().AsError())
-					if err != nil && ctx.Err() == nil {
-						s.note(Note{Event: "round failed", Service: pool.Name, Err: err})
-					}
-				})
 			}
 		}
 	}
@@ -124,13 +112,36 @@
 	return true
 }
 
-// end notes that a group was looked at.
-func (s *Stepper) end(name ensemble, pool *banyanplank.PoolSpec) {
+// end notes that a group was looked at, and is again after a pause.
+func (s *Stepper) end(name ensemble, pause time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	delete(s.tended, name)
-	numbers := leastSample * pool.Engine.Layers * pool.Engine.Experts
-	s.due[name] = time.Now().Add(time.Duration(float64(numbers)/mostNumbers*float64(s.interval)) - s.interval)
+	s.due[name] = time.Now().Add(pause)
+}
+
+// attend looks at a group that has begun to be. A round that panics ends, and the next
+// one is made.
+func (s *Stepper) attend(ctx context.Context, name ensemble, duty Duty, pool *banyanplank.PoolSpec, gap time.Duration, ranks []banyanplank.Backend) {
+	var caught panics.Catcher
+	var err error
+	caught.Try(func() { err = s.tend(ctx, duty, pool, gap, ranks) })
+	pause := time.Duration(0)
+	if duty == Lead {
+		pause = s.pauseAfter(pool.Engine)
+	}
+	s.end(name, pause)
+	err = errors.CombineErrors(err, caught.Recovered().AsError())
+	if err != nil && ctx.Err() == nil {
+		s.note(Note{Event: "round failed", Service: pool.Name, Err: err})
+	}
+}
+
+// pauseAfter returns how much longer than the interval rounds are apart, so that no
+// more than mostNumbers are read in an interval.
+func (s *Stepper) pauseAfter(engine *banyanplank.EngineSpec) (pause time.Duration) {
+	numbers := float64(leastSample * engine.Layers * engine.Experts)
+	return max(0, time.Duration((numbers/mostNumbers-1)*float64(s.interval)))
 }
 
 // tend does the duty of this entry for one group.
@@ -170,87 +181,3 @@
 	s.note(Note{Event: "held pass", Service: service, Epoch: g.epoch, Step: g.step(), Took: time.Since(began), Err: err})
 	return nil
 }
-
-// round looks at one group, and brings a better map into use if there is one.
-func (s *Stepper) round(ctx context.Context, pool *banyanplank.PoolSpec, gap time.Duration, ranks []banyanplank.Backend) (err error) {
-	g, err := s.gather(ctx, ranks)
-	if err != nil {
-		return err
-	}
-	name := ensemble{pool.Name, ranks[0].Group}
-	t := s.term(name, pool, g)
-	s.noteSlow(name, t, g.slow())
-	if err := g.releaseHeld(ctx); err != nil {
-		return err
-	}
-	if g.isArmed() {
-		return nil
-	}
-	if err := s.learn(ctx, t, g); err != nil {
-		return err
-	}
-	p, err := makePlan(pool.Engine, t.places, t.demand.weight, paces(g.reports))
-	if err != nil || !p.moved || (!p.forced && p.gain < worthwhile(t.pass, gap)) {
-		return err
-	}
-	return s.change(ctx, pool.Name, t, g, p)
-}
-
-// gather finds the ranks of the group in their order.
-func (s *Stepper) gather(ctx context.Context, ranks []banyanplank.Backend) (g *group, err error) {
-	g = &group{ranks: s.ranks}
-	type seen struct {
-		backend *banyanplank.Backend
-		report  banyanplank.RankReport
-	}
-	work := pool.NewWithResults[seen]().WithErrors()
-	for i := range ranks {
-		work.Go(func() (found seen, err error) {
-			found.backend = &ranks[i]
-			found.report, err = s.ranks.Report(ctx, &ranks[i])
-			return found, err
-		})
-	}
-	found, err := work.Wait()
-	if len(found) == 0 {
-		return nil, errors.CombineErrors(errors.New("no rank answers"), err)
-	}
-	slices.SortFunc(found, func(a, b seen) int { return a.report.Rank - b.report.Rank })
-	for i, f := range found {
-		if f.report.Rank != i || f.report.Epoch != found[0].report.Epoch || !f.report.Open {
-			return nil, errMoved
-		}
-		g.backends = append(g.backends, f.backend)
-		g.reports = append(g.reports, f.report)
-	}
-	if len(found) != found[0].report.Size {
-		return nil, errors.Wrapf(errMoved, "%d of %d ranks answer", len(found), found[0].report.Size)
-	}
-	g.epoch = found[0].report.Epoch
-	return g, nil
-}
-
-// change brings a planned map into use.
-func (s *Stepper) change(ctx context.Context, service banyanplank.ServiceName, t *term, g *group, p plan) (err error) {
-	began := time.Now()
-	id := t.next()
-	err = g.prepare(ctx, id, p.places, 0)
-	for range prepareTries {
-		if !errors.Is(err, errLate) {
-			break
-		}
-		id = t.next()
-		err = g.prepare(ctx, id, p.places, 0)
-	}
-	if err == nil {
-		err = g.adopt(ctx, id)
-	}
-	t.adopted = g.adopted
-	if err == nil {
-		t.places, t.id = p.places, id
-	} else {
-		t.places = nil
-	}
-	s.note(Note{Event: "map switch", Service: service, Epoch: g.epoch, Map: id, Step: g.step(), Before: p.before, After: p.after, Took: time.Since(began), Err: err})
-	return nil
-}
