--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -62,20 +62,40 @@
 	gateway *Gateway
 	view    atomic.Pointer[surveyor.Snapshot]
 	server  *httptest.Server
-	log     *strings.Builder
+	log     *lines
 	mutex   sync.Mutex
 	// arrived lists the endpoints that calls reached, with what they were sent.
 	arrived []*http.Request
 	bodies  []string
 }
 
+// lines is a log that may be written from many goroutines.
+type lines struct {
+	mutex sync.Mutex
+	text  strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(p []byte) (n int, err error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.text.Write(p)
+}
+
+// String returns what was written.
+func (l *lines) String() (text string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.text.String()
+}
+
 // handler is what an endpoint does.
 type handler func(w http.ResponseWriter, r *http.Request)
 
 // newWorld returns a gateway with one endpoint for each handler.
 func newWorld(t *testing.T, route banyanplank.RouteSpec, handlers ...handler) (w *world) {
 	t.Helper()
-	w = &world{log: &strings.Builder{}}
+	w = &world{log: &lines{}}
 	route.Host, route.Prefix, route.Splits = "h.example", "/x/", []banyanplank.Split{{Service: "s", Weight: 1}}
 	if route.Timeout == 0 {
 		route.Timeout = 2 * time.Second
