--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -60,6 +60,7 @@
 			is.True(time.Since(began) < test.soon)
 			is.Equal(a.err != nil, test.cut)
 			is.Equal(a.status, test.status)
+			w.server.Close()                                 // once all calls have ended
 			is.Equal(w.gateway.holder.used.Load(), int64(0)) // all is given back
 		})
 	}
@@ -87,6 +88,7 @@
 			t.Errorf("status %d", a.status)
 		}
 	}
+	w.server.Close() // once all calls have ended
 	is.Equal(w.gateway.holder.used.Load(), int64(0))
 }
 
