--- a/coordination/surveyor/format.go
+++ b/coordination/surveyor/format.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/banyanplank/banyanplank"
 )
@@ -17,5 +18,5 @@
 	if b.Leaving {
 		state = "leaving"
 	}
-	return fmt.Sprintf("%s %s at %s in %s, cold for %s", b.Service, state, b.Address, b.Zone, b.Cold)
+	return fmt.Sprintf("%s %s at %s in %s, cold for %s, born %s", b.Service, state, b.Address, b.Zone, b.Cold, b.Born.UTC().Format(time.RFC3339Nano))
 }
--- a/finding.go
+++ b/finding.go
@@ -1,6 +1,10 @@
 package banyanplank
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Fingerprint knows a request again when its caller repeats it. The upper half
 // is a hash of the client account, the lower half one of the call.
@@ -8,16 +12,26 @@
 
 // Fingerprint returns the request's fingerprint.
 func (r *Request) Fingerprint() Fingerprint {
-	account := xxhash.Sum64String(string(r.Account))
+	return NewFingerprint(r.Account, string(r.Service), r.Path, r.Body)
+}
+
+// NewFingerprint returns the fingerprint of a call of an account. Scope tells equal
+// paths apart, such as those of two hosts.
+func NewFingerprint(account AccountID, scope, path string, body []byte) Fingerprint {
 	var call xxhash.Digest
 	call.Reset()
 	// A digest's writes do not fail.
-	_, _ = call.WriteString(string(r.Service))
+	_, _ = call.WriteString(scope)
 	_, _ = call.WriteString("\x00")
-	_, _ = call.WriteString(r.Path)
+	_, _ = call.WriteString(path)
 	_, _ = call.WriteString("\x00")
-	_, _ = call.Write(r.Body)
-	return Fingerprint(account<<32 | call.Sum64()>>32)
+	_, _ = call.Write(body)
+	return Fingerprint(xxhash.Sum64String(string(account))<<32 | call.Sum64()>>32)
+}
+
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string {
+	return fmt.Sprintf("%016x", uint64(f))
 }
 
 // Account returns the part that is the same for all requests of an account.
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -44,6 +44,8 @@
 	service  banyanplank.ServiceName
 	priority int
 	body     []byte
+	// print knows the call again when it returns under another id.
+	print    banyanplank.Fingerprint
 	arrived  time.Time
 	deadline time.Time
 	ctx      context.Context
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,6 +88,7 @@
 	if f.body, err = f.readBody(); err != nil {
 		return err
 	}
+	f.print = banyanplank.NewFingerprint(f.account, f.request.Host, f.request.RequestURI, f.body)
 	f.service = pickSplit(f.route.Splits)
 	f.bound()
 	return nil
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -99,6 +99,9 @@
 	if f.route != nil {
 		line.Str("route", f.route.Name).Str("kind", f.route.Kind.String()).Str("service", string(f.service)).Str("account", string(f.account))
 	}
+	if f.print != 0 {
+		line.Stringer("request", f.print)
+	}
 	if f.view != nil {
 		line.Uint64("backends_revision", uint64(f.view.Revisions[banyanplank.TopicBackends]))
 		if f.view.Router != nil {
