--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -89,6 +90,9 @@
 	return l.text.String()
 }
 
+// bodyKey is the key of a call's body in the context of an endpoint's handler.
+type bodyKey struct{}
+
 // handler is what an endpoint does.
 type handler func(w http.ResponseWriter, r *http.Request)
 
@@ -122,7 +126,7 @@
 			w.arrived, w.bodies = append(w.arrived, r), append(w.bodies, string(text))
 			w.mutex.Unlock()
 			// The endpoints do as the handlers say in the order of arrival.
-			handlers[min(int(next.Add(1)), len(handlers))-1](rw, r)
+			handlers[min(int(next.Add(1)), len(handlers))-1](rw, r.WithContext(context.WithValue(r.Context(), bodyKey{}, string(text))))
 		}))
 		t.Cleanup(endpoint.Close)
 		snapshot.Backends = append(snapshot.Backends, banyanplank.Backend{
