Stop a request that crashes endpoints at every entry

Callers saw: a request that ends whatever runs it came again and was sent on, until all endpoints of the service had ended; after that sound requests got 503.

Cause: nothing on the served path remembered a request beyond its own attempt. The finding of crashing requests existed for agents alone (suspecter.Guard), which the users' platform has not. The class of fault: a decision that was left behind when the path around it was replaced.

Change: suspecter.Witness, the same memory (Suspects) for entries, which see their own requests at all endpoints. A run that broke counts once its endpoint is known to have ended: its address refuses a connection, or it is listed with another start. One that accepts a connection lives on, and nothing counts. Two deaths in a row of which no other request ran, or three, convict; deaths that came together count once, what ran to its end is cleared everywhere, and an endpoint that leaves as planned counts for nothing. Entries repeat their findings for 5 s in heartbeats, and convictions as long as they hold, so an entry that starts learns of them. A convicted request is refused before it waits or is sent, with the time left.

--- a/coordination/beater/beat.go
+++ b/coordination/beater/beat.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/protocol/carrier"
 	"github.com/banyanplank/banyanplank/protocol/pulser"
 )
 
@@ -34,6 +35,8 @@
 	Slow []banyanplank.BackendID
 	// Revisions tells up to where the sender knows changes of each topic.
 	Revisions map[banyanplank.Topic]banyanplank.Version
+	// Findings tell of requests that crash endpoints.
+	Findings []banyanplank.Finding
 }
 
 // maxBeat is the longest heartbeat in bytes.
@@ -52,6 +55,7 @@
 		Ready:       beat.Ready,
 		Blind:       beat.Blind,
 		Watches:     beat.Watches,
+		Findings:    carrier.EncodeFindings(beat.Findings),
 	}
 	for id, calls := range beat.InFlight {
 		message.Endpoints = append(message.Endpoints, string(id))
@@ -115,6 +119,7 @@
 		Watches:     message.Watches,
 		InFlight:    make(map[banyanplank.BackendID]int, len(message.Endpoints)),
 		Revisions:   make(map[banyanplank.Topic]banyanplank.Version, len(message.Topics)),
+		Findings:    carrier.DecodeFindings(message.Findings),
 	}
 	if beat.From == "" || !beat.Peer.IsValid() {
 		return nil, errors.New("no sender")
--- a/coordination/beater/beater_test.go
+++ b/coordination/beater/beater_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"reflect"
@@ -14,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/suspecter"
 	"github.com/banyanplank/banyanplank/protocol/pulser"
 )
 
@@ -108,6 +110,19 @@
 			sent.Slow = append(sent.Slow, banyanplank.BackendID(id))
 			sent.Revisions[banyanplank.Topic(id)] = banyanplank.Version(rapid.Uint64().Draw(t, "revision"))
 		}
+		for range rapid.IntRange(0, 3).Draw(t, "findings") {
+			span := rapid.Custom(func(t *rapid.T) time.Duration {
+				return time.Duration(rapid.IntRange(0, 600_000).Draw(t, "ms")) * time.Millisecond
+			})
+			sent.Findings = append(sent.Findings, banyanplank.Finding{
+				Kind:     banyanplank.FindingKind(rapid.IntRange(0, 3).Draw(t, "kind")),
+				Death:    banyanplank.DeathID(rapid.Uint64().Draw(t, "death")),
+				Requests: []banyanplank.Fingerprint{1, banyanplank.Fingerprint(rapid.Uint64().Draw(t, "request"))},
+				Ran:      []time.Duration{span.Draw(t, "ran"), span.Draw(t, "ran")},
+				Age:      span.Draw(t, "age"),
+				Left:     span.Draw(t, "left"),
+			})
+		}
 		text, err := encode(sent)
 		if err != nil {
 			t.Fatal(err)
@@ -122,6 +137,24 @@
 	})
 }
 
+// TestFindingsFit has a heartbeat carry as many findings as an entry tells at a time.
+func TestFindingsFit(t *testing.T) {
+	is := is.New(t)
+	w := suspecter.NewWitness()
+	began := time.Unix(0, 0)
+	for i := range 2000 {
+		id, now := banyanplank.BackendID(fmt.Sprint(i)), began.Add(time.Duration(i)*time.Millisecond)
+		for account := range 3 {
+			w.Broke(now, suspecter.Run{Request: banyanplank.NewFingerprint(banyanplank.AccountID(fmt.Sprint(account)), "h", "/", nil), Endpoint: id, Began: now})
+		}
+		w.Died(now, id, time.Time{})
+	}
+	findings := w.Tell(began.Add(2 * time.Second))
+	is.True(len(findings) > 10)
+	_, err := encode(&Beat{From: "a", Findings: findings})
+	is.NoErr(err)
+}
+
 // TestBeatIsSmall has a heartbeat of the users' grown deployments stay within the bytes
 // that control may take: one to each of 32 entries of other zones every 0.7 s within
 // 10 kB a second.
--- a/coordination/suspecter/guard.go
+++ b/coordination/suspecter/guard.go
@@ -257,7 +257,7 @@
 	if g.doubt != nil && !g.denied {
 		return
 	}
-	death := banyanplank.Finding{Kind: banyanplank.FindingDeath, Death: banyanplank.NewDeathID(g.daemon, g.boot)}
+	death := banyanplank.Finding{Kind: banyanplank.FindingDeath, Death: banyanplank.NewDeathID(string(g.daemon), g.boot)}
 	for _, r := range g.running {
 		if r.began {
 			death.Requests = append(death.Requests, r.fingerprint)
--- a/coordination/suspecter/suspects.go
+++ b/coordination/suspecter/suspects.go
@@ -1,6 +1,7 @@
 package suspecter
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -20,6 +21,8 @@
 	mostRunning = 128
 	// mostDeaths bounds the deaths remembered of one suspect.
 	mostDeaths = 4
+	// mostKnown bounds the deaths remembered of all suspects together.
+	mostKnown = 4096
 )
 
 // Verdict tells how a request may run.
@@ -35,41 +38,19 @@
 	VerdictRefused
 )
 
-// death is one death at which a request ran.
-type death struct {
-	id banyanplank.DeathID
-	// beside lists all requests that ran, the suspect among them.
-	beside []banyanplank.Fingerprint
-}
-
-// suspect is a request that ran when an endpoint died.
-type suspect struct {
-	deaths []death
-	until  time.Time
-}
-
-// isGuilty reports whether the deaths leave no other request to blame. One
-// death alone may be a coincidence.
-func (s *suspect) isGuilty() bool {
-	if len(s.deaths) < 2 {
-		return false
-	}
-	common := slices.Clone(s.deaths[0].beside)
-	for _, d := range s.deaths[1:] {
-		common = slices.DeleteFunc(common, func(f banyanplank.Fingerprint) bool { return !slices.Contains(d.beside, f) })
-	}
-	return len(common) == 1
-}
-
 // Suspects remembers the requests that ran when an endpoint died. It is pure
 // and not safe for use by several goroutines at once.
 type Suspects struct {
 	accounts map[uint32]map[banyanplank.Fingerprint]*suspect
+	deaths   map[banyanplank.DeathID]*death
 }
 
 // NewSuspects returns an empty memory.
 func NewSuspects() *Suspects {
-	return &Suspects{accounts: map[uint32]map[banyanplank.Fingerprint]*suspect{}}
+	return &Suspects{
+		accounts: map[uint32]map[banyanplank.Fingerprint]*suspect{},
+		deaths:   map[banyanplank.DeathID]*death{},
+	}
 }
 
 // Judge returns how a request may run at now.
@@ -99,8 +80,8 @@
 	if found == nil || now.After(found.until) {
 		return nil
 	}
-	for _, d := range found.deaths {
-		findings = append(findings, banyanplank.Finding{Kind: banyanplank.FindingDeath, Death: d.id, Requests: d.beside})
+	for _, r := range found.runs {
+		findings = append(findings, banyanplank.Finding{Kind: banyanplank.FindingDeath, Death: r.id, Requests: slices.Clone(r.beside)})
 	}
 	return findings
 }
@@ -109,38 +90,102 @@
 // was news. Doubled findings do no harm.
 func (s *Suspects) Observe(now time.Time, finding banyanplank.Finding) (news bool) {
 	finding.Requests = finding.Requests[:min(len(finding.Requests), mostRunning)]
-	for _, request := range finding.Requests {
+	var fatal *death
+	if finding.Kind == banyanplank.FindingDeath && len(finding.Requests) > 0 {
+		fatal = s.death(now, finding)
+	}
+	for i, request := range finding.Requests {
 		switch finding.Kind {
 		case banyanplank.FindingDeath:
-			news = s.accuse(now, request, finding) || news
+			began := fatal.at
+			if i < len(finding.Ran) {
+				began = now.Add(-finding.Age - finding.Ran[i])
+			}
+			news = s.accuse(now, request, run{death: fatal, began: began}) || news
 		case banyanplank.FindingWithdrawn:
 			news = s.withdraw(request, finding.Death) || news
 		case banyanplank.FindingCleared:
 			news = s.clear(request) || news
+		case banyanplank.FindingConvicted:
+			news = s.convict(now, request, finding.Left) || news
 		}
 	}
 	return news
 }
 
+// death returns the death that a finding tells of, with the requests that ran.
+// Several daemons tell of the same one, each of the requests that it had there.
+func (s *Suspects) death(now time.Time, finding banyanplank.Finding) (d *death) {
+	at := now.Add(-finding.Age)
+	d = s.deaths[finding.Death]
+	if d == nil {
+		d = &death{id: finding.Death, at: at}
+		if len(s.deaths) >= mostKnown {
+			s.Expire(now)
+		}
+		if len(s.deaths) < mostKnown {
+			s.deaths[finding.Death] = d
+		}
+	}
+	if at.Before(d.at) {
+		d.at = at
+	}
+	d.until = now.Add(expiry)
+	for _, request := range finding.Requests {
+		if len(d.beside) < mostRunning && !slices.Contains(d.beside, request) {
+			d.beside = append(d.beside, request)
+		}
+	}
+	return d
+}
+
 // accuse adds a death to a request.
-func (s *Suspects) accuse(now time.Time, request banyanplank.Fingerprint, finding banyanplank.Finding) (news bool) {
+func (s *Suspects) accuse(now time.Time, request banyanplank.Fingerprint, r run) (news bool) {
 	found := s.suspect(now, request)
 	if found == nil {
 		return false
 	}
-	for _, d := range found.deaths {
-		if d.id == finding.Death {
+	for _, known := range found.runs {
+		if known.id == r.id {
 			return false
 		}
 	}
-	if len(found.deaths) == mostDeaths {
-		found.deaths = slices.Delete(found.deaths, 0, 1)
+	if len(found.runs) == mostDeaths {
+		found.runs = slices.Delete(found.runs, 0, 1)
 	}
-	found.deaths = append(found.deaths, death{id: finding.Death, beside: finding.Requests})
+	found.runs = append(found.runs, r)
 	found.until = now.Add(expiry)
 	return true
 }
 
+// convict takes in that another daemon has found a request guilty. One that is known
+// to be guilty stays so no longer for it, or daemons would keep each other's word alive.
+func (s *Suspects) convict(now time.Time, request banyanplank.Fingerprint, left time.Duration) (news bool) {
+	left = min(left, expiry)
+	if left <= 0 || s.Judge(now, request) == VerdictRefused {
+		return false
+	}
+	found := s.suspect(now, request)
+	if found == nil {
+		return false
+	}
+	found.convicted, found.until = true, now.Add(left)
+	return true
+}
+
+// Guilty returns the requests that are found to crash endpoints.
+func (s *Suspects) Guilty(now time.Time) (guilty []banyanplank.Fingerprint) {
+	for _, named := range s.accounts {
+		for request, found := range named {
+			if !now.After(found.until) && found.isGuilty() {
+				guilty = append(guilty, request)
+			}
+		}
+	}
+	slices.Sort(guilty)
+	return guilty
+}
+
 // suspect returns the suspect for a request, new if there is room, or nil.
 func (s *Suspects) suspect(now time.Time, request banyanplank.Fingerprint) (found *suspect) {
 	named := s.accounts[request.Account()]
@@ -169,21 +214,25 @@
 	if found == nil {
 		return false
 	}
-	before := len(found.deaths)
-	found.deaths = slices.DeleteFunc(found.deaths, func(d death) bool { return d.id == id })
-	if len(found.deaths) == 0 {
+	before := len(found.runs)
+	found.runs = slices.DeleteFunc(found.runs, func(r run) bool { return r.id == id })
+	if len(found.runs) == 0 {
 		s.clear(request)
 	}
-	return len(found.deaths) < before
+	return len(found.runs) < before
 }
 
-// clear forgets a request that ended well. One that is found guilty stays.
+// clear forgets a request that ended well, so that it takes no blame off those that
+// ran beside it. One that is found guilty stays.
 func (s *Suspects) clear(request banyanplank.Fingerprint) (news bool) {
 	named := s.accounts[request.Account()]
 	found := named[request]
 	if found == nil || found.isGuilty() {
 		return false
 	}
+	for _, r := range found.runs {
+		r.beside = slices.DeleteFunc(r.beside, func(f banyanplank.Fingerprint) bool { return f == request })
+	}
 	delete(named, request)
 	if len(named) == 0 {
 		delete(s.accounts, request.Account())
@@ -203,4 +252,5 @@
 			delete(s.accounts, account)
 		}
 	}
+	maps.DeleteFunc(s.deaths, func(_ banyanplank.DeathID, d *death) bool { return now.After(d.until) })
 }
--- /dev/null
+++ b/coordination/suspecter/witness_test.go
@@ -0,0 +1,253 @@
+package suspecter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// runAt returns a run of a request that began at a time after the epoch.
+func runAt(request banyanplank.Fingerprint, endpoint string, began time.Duration) Run {
+	return Run{Request: request, Endpoint: banyanplank.BackendID(endpoint), Born: epoch, Began: epoch.Add(began)}
+}
+
+// die has a run break at a time, and its endpoint found to have ended right after.
+func die(w *Witness, r Run, at time.Duration) {
+	w.Broke(epoch.Add(at), r)
+	w.Died(epoch.Add(at+2*time.Millisecond), r.Endpoint, r.Born)
+}
+
+func TestWitness(t *testing.T) {
+	const s = time.Second
+	bad, good := printOf("a", "bad"), printOf("a", "good")
+	tests := map[string]struct {
+		play func(w *Witness)
+		bad  bool
+		good bool
+	}{
+		"nothing known": {func(*Witness) {}, false, false},
+		"one death":     {func(w *Witness) { die(w, runAt(bad, "1", 0), s) }, false, false},
+		"two deaths in a row": {func(w *Witness) {
+			die(w, runAt(bad, "1", 0), s)
+			die(w, runAt(bad, "2", 2*s), 3*s)
+		}, true, false},
+		"endpoints that live on": {func(w *Witness) {
+			for i := range 5 {
+				at := time.Duration(i) * s
+				w.Broke(epoch.Add(at+s/2), runAt(bad, "1", at))
+				w.Lives(epoch.Add(at+s/2), "1", epoch)
+			}
+			w.Died(epoch.Add(9*s), "1", epoch)
+		}, false, false},
+		"two endpoints of a lost zone": {func(w *Witness) {
+			die(w, runAt(bad, "1", 0), s)
+			die(w, runAt(bad, "2", 0), s+time.Millisecond)
+		}, false, false},
+		"a bystander twice": {func(w *Witness) {
+			for i, endpoint := range []string{"1", "2"} {
+				at := time.Duration(2*i) * s
+				w.Broke(epoch.Add(at+s), runAt(good, endpoint, at))
+				die(w, runAt(bad, endpoint, at), at+s)
+			}
+		}, false, false},
+		"a bystander that then completes": {func(w *Witness) {
+			for i, endpoint := range []string{"1", "2"} {
+				at := time.Duration(2*i) * s
+				w.Broke(epoch.Add(at+s), runAt(good, endpoint, at))
+				die(w, runAt(bad, endpoint, at), at+s)
+			}
+			w.Completed(epoch.Add(5*s), good)
+		}, true, false},
+		"three deaths with bystanders": {func(w *Witness) {
+			for i, endpoint := range []string{"1", "2", "3"} {
+				at := time.Duration(2*i) * s
+				if i < 2 {
+					w.Broke(epoch.Add(at+s), runAt(good, endpoint, at))
+				}
+				die(w, runAt(bad, endpoint, at), at+s)
+			}
+		}, true, false},
+		"completed between two deaths": {func(w *Witness) {
+			die(w, runAt(bad, "1", 0), s)
+			w.Completed(epoch.Add(2*s), bad)
+			die(w, runAt(bad, "2", 3*s), 4*s)
+		}, false, false},
+		"planned leaving": {func(w *Witness) {
+			w.Listed(epoch, []banyanplank.Backend{{ID: "1", Born: epoch, Leaving: true}, {ID: "2", Born: epoch, Leaving: true}})
+			die(w, runAt(bad, "1", 0), s)
+			die(w, runAt(bad, "2", 2*s), 3*s)
+		}, false, false},
+		"silent crashes, listed with another start": {func(w *Witness) {
+			w.Stalled(epoch.Add(s), runAt(bad, "1", 0))
+			w.Stalled(epoch.Add(3*s), runAt(bad, "2", 2*s))
+			w.Listed(epoch.Add(6*s), []banyanplank.Backend{{ID: "1", Born: epoch.Add(4 * s)}, {ID: "2", Born: epoch.Add(5 * s)}})
+		}, true, false},
+		"silent and not restarted": {func(w *Witness) {
+			w.Stalled(epoch.Add(s), runAt(bad, "1", 0))
+			w.Stalled(epoch.Add(3*s), runAt(bad, "2", 2*s))
+			w.Listed(epoch.Add(6*s), []banyanplank.Backend{{ID: "1", Born: epoch}, {ID: "2", Born: epoch}})
+		}, false, false},
+		"a run that breaks after its endpoint is known to have ended": {func(w *Witness) {
+			w.Died(epoch.Add(s), "1", epoch)
+			w.Broke(epoch.Add(s+time.Millisecond), runAt(bad, "1", 0))
+			die(w, runAt(bad, "2", 2*s), 3*s)
+		}, true, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := NewWitness()
+			test.play(w)
+			now := epoch.Add(10 * s)
+			isBad, left := w.Judge(now, bad)
+			is.Equal(isBad, test.bad)
+			is.Equal(left > 0, test.bad)
+			isGood, _ := w.Judge(now, good)
+			is.Equal(isGood, test.good)
+		})
+	}
+}
+
+// TestWitnessesTellEachOther has deaths that several entries saw add up, and an entry
+// that starts later know the request as well.
+func TestWitnessesTellEachOther(t *testing.T) {
+	is := is.New(t)
+	bad := printOf("a", "bad")
+	one, two, late := NewWitness(), NewWitness(), NewWitness()
+	die(one, runAt(bad, "1", 0), time.Second)
+	two.Learn(epoch.Add(1100*time.Millisecond), one.Tell(epoch.Add(1100*time.Millisecond)))
+	die(two, runAt(bad, "2", 1200*time.Millisecond), 2*time.Second)
+	guilty, _ := two.Judge(epoch.Add(3*time.Second), bad)
+	is.True(guilty)
+	is.Equal(len(one.Tell(epoch.Add(tellTime+2*time.Second))), 0) // told long enough
+	late.Learn(epoch.Add(time.Minute), two.Tell(epoch.Add(time.Minute)))
+	guilty, _ = late.Judge(epoch.Add(time.Minute), bad)
+	is.True(guilty)
+	// Word that goes round does not live on for ever.
+	for at := time.Minute; at < 2*expiry; at += time.Minute {
+		two.Learn(epoch.Add(at), late.Tell(epoch.Add(at)))
+		late.Learn(epoch.Add(at), two.Tell(epoch.Add(at)))
+	}
+	guilty, _ = late.Judge(epoch.Add(2*expiry), bad)
+	is.True(!guilty)
+}
+
+// TestWitnessIsBounded has many runs break and many endpoints end, which must fill
+// neither the memory nor a heartbeat.
+func TestWitnessIsBounded(t *testing.T) {
+	is := is.New(t)
+	w := NewWitness()
+	for i := range 20_000 {
+		request := printOf("a", fmt.Sprint(i))
+		w.Broke(epoch, runAt(request, fmt.Sprint(i%50), 0))
+		if i%10 == 0 {
+			w.Died(epoch, banyanplank.BackendID(fmt.Sprint(i%50)), epoch)
+		}
+	}
+	is.True(w.waiting <= mostPending)
+	requests := 0
+	for _, finding := range w.Tell(epoch) {
+		requests += len(finding.Requests)
+	}
+	is.True(requests <= mostTold)
+}
+
+// fleet is entries and endpoints through which crashing and sound requests go.
+type fleet struct {
+	witnesses []*Witness
+	now       time.Time
+	// downUntil tells when endpoints are back.
+	downUntil []time.Time
+	born      []time.Time
+}
+
+// exchange has all entries tell each other, but for messages that are lost.
+func (f *fleet) exchange(isLost func() bool) {
+	for i, from := range f.witnesses {
+		findings := from.Tell(f.now)
+		for j, to := range f.witnesses {
+			if i != j && !isLost() {
+				to.Learn(f.now, findings)
+			}
+		}
+	}
+}
+
+// crash ends an endpoint, under the runs of one entry each.
+func (f *fleet) crash(endpoint int, down time.Duration) {
+	f.downUntil[endpoint] = f.now.Add(down)
+}
+
+// TestCrashingRequestAmongRestarts plays a request that crashes what runs it, among
+// entries that restart, lost messages, endpoints that end by themselves and sound
+// requests that come back. The bound is the users': three retries more than 3 s after
+// the third endpoint has ended.
+func TestCrashingRequestAmongRestarts(t *testing.T) {
+	const touch = 3 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{now: epoch}
+		entries, endpoints := rapid.IntRange(1, 8).Draw(t, "entries"), rapid.IntRange(3, 16).Draw(t, "endpoints")
+		for range entries {
+			f.witnesses = append(f.witnesses, NewWitness())
+		}
+		f.downUntil, f.born = make([]time.Time, endpoints), make([]time.Time, endpoints)
+		for i := range f.born {
+			f.born[i] = epoch
+		}
+		restarted := make([]time.Time, entries)
+		bad := printOf("a", "bad")
+		crashes, late, third := 0, 0, time.Time{}
+		for range rapid.IntRange(20, 120).Draw(t, "steps") {
+			f.now = f.now.Add(time.Duration(rapid.IntRange(20, 800).Draw(t, "pause")) * time.Millisecond)
+			f.exchange(func() bool { return rapid.IntRange(0, 3).Draw(t, "lost") == 0 })
+			entry, endpoint := rapid.IntRange(0, entries-1).Draw(t, "entry"), rapid.IntRange(0, endpoints-1).Draw(t, "endpoint")
+			w, id := f.witnesses[entry], banyanplank.BackendID(fmt.Sprint(endpoint))
+			if f.now.Before(f.downUntil[endpoint]) {
+				w.Died(f.now, id, f.born[endpoint])
+				continue
+			}
+			if !f.downUntil[endpoint].IsZero() {
+				f.born[endpoint], f.downUntil[endpoint] = f.downUntil[endpoint], time.Time{}
+			}
+			began := f.now
+			f.now = f.now.Add(5 * time.Millisecond)
+			r := Run{Endpoint: id, Born: f.born[endpoint], Began: began}
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0: // the entry restarts
+				f.witnesses[entry], restarted[entry] = NewWitness(), f.now
+			case 1: // a sound request's endpoint ends by itself
+				r.Request = printOf("a", fmt.Sprint("sound", f.now.UnixNano()))
+				w.Broke(f.now, r)
+				f.crash(endpoint, 2*time.Second)
+				w.Died(f.now, id, r.Born)
+			case 2, 3: // a sound request completes
+				w.Completed(f.now, printOf("a", "sound"))
+			default:
+				if guilty, _ := w.Judge(f.now, bad); guilty {
+					continue
+				}
+				if !third.IsZero() && f.now.Sub(third) > touch && f.now.Sub(restarted[entry]) > touch {
+					late++
+				}
+				if crashes++; crashes == 3 {
+					third = f.now
+				}
+				r.Request = bad
+				w.Broke(f.now, r)
+				f.crash(endpoint, 2*time.Second)
+				w.Died(f.now, id, r.Born)
+			}
+			if guilty, _ := w.Judge(f.now, printOf("a", "sound")); guilty {
+				t.Fatal("a sound request is refused")
+			}
+		}
+		if late > 3 {
+			t.Fatalf("sent %d times later than 3 s after it had crashed the third endpoint", late)
+		}
+	})
+}
--- a/finding.go
+++ b/finding.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -42,10 +43,9 @@
 // DeathID names one death of one endpoint.
 type DeathID uint64
 
-// NewDeathID returns the id of the death that ended a boot of the endpoint
-// beside a daemon.
-func NewDeathID(daemon DaemonID, boot string) DeathID {
-	return DeathID(xxhash.Sum64String(string(daemon) + "\x00" + boot))
+// NewDeathID returns the id of the death that ended a boot of an endpoint.
+func NewDeathID(endpoint, boot string) DeathID {
+	return DeathID(xxhash.Sum64String(endpoint + "\x00" + boot))
 }
 
 // FindingKind tells what a finding reports.
@@ -57,8 +57,10 @@
 	FindingDeath FindingKind = iota
 	// FindingWithdrawn reports that the endpoint had not died after all.
 	FindingWithdrawn
-	// FindingCleared reports that suspects ran alone and ended well.
+	// FindingCleared reports that suspects ran to their end.
 	FindingCleared
+	// FindingConvicted reports requests that are found to crash endpoints.
+	FindingConvicted
 )
 
 // Finding is what daemons tell each other of crashing requests. It takes about
@@ -68,4 +70,11 @@
 	Death DeathID
 	// Requests lists the requests, the latest started first.
 	Requests []Fingerprint
+	// Ran holds how long each request had run when the endpoint died. It is empty
+	// when that isn't known.
+	Ran []time.Duration
+	// Age is how long ago the endpoint died.
+	Age time.Duration
+	// Left is how long a conviction still holds.
+	Left time.Duration
 }
--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -57,6 +57,7 @@
 		InFlight:    d.balancer.InFlight(),
 		Slow:        d.slowNow(),
 		Revisions:   snapshot.Revisions,
+		Findings:    d.gateway.witness.Tell(time.Now()),
 	}
 }
 
@@ -64,6 +65,7 @@
 func (d *Daemon) hear(beat *beater.Beat) {
 	d.balancer.Hear(time.Now(), beat.From, beat.InFlight)
 	d.balancer.Slow(time.Now(), beat.Slow)
+	d.gateway.witness.Learn(time.Now(), beat.Findings)
 	d.relay.hear(beat.Peer, beat.Revisions)
 	for topic, revision := range beat.Revisions {
 		// Peers tell of themselves in their heartbeats.
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -53,6 +53,7 @@
 				request := w.request(t, http.MethodPost, crashing)
 				request.Header.Set("Id", fmt.Sprintf("crash-%d", i))
 				is.True(w.do(request).status != http.StatusOK)
+				w.settle(t.Context())
 				sound := w.request(t, http.MethodPost, "sound")
 				sound.Header.Set("Id", fmt.Sprintf("sound-%d", i))
 				w.do(sound)
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/banyanplank/banyanplank/coordination/balancer"
 	"github.com/banyanplank/banyanplank/coordination/stepper"
 	"github.com/banyanplank/banyanplank/coordination/surveyor"
+	"github.com/banyanplank/banyanplank/coordination/suspecter"
 	"github.com/banyanplank/banyanplank/state/follower"
 	"github.com/banyanplank/banyanplank/transport/requester"
 )
@@ -58,17 +59,19 @@
 	d.balancer = balancer.New(balancer.WithZone(settings.Zone), balancer.WithRepeats(limits.Share, limits.Slack, time.Duration(limits.Span)))
 	model := surveyor.NewModel(d.member)
 	d.view.Store(model.Snapshot())
+	counters := newCounters()
 	d.gateway = &Gateway{
 		view:      &d.view,
 		balancer:  d.balancer,
 		requester: requester.New(dialect),
+		witness:   suspecter.NewWitness(suspecter.WithNotes(noteWitness(logger, counters))),
+		probes:    make(chan *banyanplank.Backend, maxProbes),
 		dialect:   dialect,
 		logger:    logger,
-		counters:  newCounters(),
+		counters:  counters,
 		holder:    newHolder(settings.Limits),
 	}
-	d.gateway.counters.set.NewGauge("banyanplank_held_bytes", func() float64 { return float64(d.gateway.holder.used.Load()) })
-	d.gateway.counters.set.NewGauge("banyanplank_held_limit_bytes", func() float64 { return float64(d.gateway.holder.most) })
+	d.gateway.gauge()
 	d.stepper = stepper.New(ranks, d.fleet, stepper.WithNotes(d.noteStep), stepper.WithSlow(d.noteSlow),
 		stepper.WithZone(settings.Zone), stepper.WithStanding(d.balancer.Stands))
 	d.loop = banyanplank.NewLoop(model, executor{d}, banyanplank.WithTick(surveyor.TickInterval), banyanplank.WithAfter(d.publish))
@@ -100,6 +103,7 @@
 		}
 	}
 	d.balancer.Renew(time.Now(), fleet)
+	d.gateway.witness.Listed(time.Now(), snapshot.Backends)
 	known := make(map[banyanplank.BackendID]bool, len(snapshot.Backends))
 	for _, b := range snapshot.Backends {
 		known[b.ID] = true
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -47,6 +47,7 @@
 	// print knows the call again when it returns under another id.
 	print    banyanplank.Fingerprint
 	arrived  time.Time
+	sent     time.Time
 	deadline time.Time
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -93,7 +94,11 @@
 // run sends the call until it has its answer.
 func (f *flow) run() {
 	for {
-		if err := f.acquire(); err != nil {
+		err := f.judge()
+		if err == nil {
+			err = f.acquire()
+		}
+		if err != nil {
 			f.giveUp(err)
 			return
 		}
@@ -114,11 +119,17 @@
 		Avoid:    f.tried,
 	})
 	f.result.waited += time.Since(began)
-	if err == nil {
-		f.tried = append(f.tried, f.lease.Backend.ID)
-		f.result.backend = f.lease.Backend.ID
+	if err != nil {
+		return err
+	}
+	// The request may have been convicted while the call waited.
+	if err := f.judge(); err != nil {
+		f.finish(balancer.Abandoned)
+		return err
 	}
-	return err
+	f.tried = append(f.tried, f.lease.Backend.ID)
+	f.result.backend = f.lease.Backend.ID
+	return nil
 }
 
 // goal returns the time within which the answer is on time.
@@ -132,6 +143,7 @@
 // attempt sends the call to the endpoint of the lease. It reports true when the
 // caller has the answer.
 func (f *flow) attempt() (done bool) {
+	f.sent = time.Now()
 	exchange, err := f.gateway.requester.Send(f.ctx, f.lease.Backend, f.call())
 	if err != nil {
 		return f.failed(err)
@@ -220,6 +232,7 @@
 	sent := !errors.As(err, &failure) || failure.Sent
 	f.result.detail = err.Error()
 	if !sent {
+		f.noteUnreached(err)
 		return f.missed(balancer.Unreached)
 	}
 	f.sends++
@@ -253,6 +266,7 @@
 		f.result.reason = "caller left"
 		return true
 	}
+	f.noteBroken(err)
 	f.finish(balancer.Failed)
 	if f.mayRepeat() {
 		return false
@@ -295,6 +309,7 @@
 		return f.broken(errors.New("answer without seal"))
 	}
 	exchange.Whole()
+	f.gateway.witness.Completed(time.Now(), f.print)
 	if response.StatusCode >= http.StatusInternalServerError && f.route.Kind == banyanplank.RouteRepeatable {
 		f.ran = true
 		if f.mayRepeat() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/balancer"
 	"github.com/banyanplank/banyanplank/coordination/surveyor"
+	"github.com/banyanplank/banyanplank/coordination/suspecter"
 	"github.com/banyanplank/banyanplank/transport/requester"
 )
 
@@ -35,12 +36,15 @@
 	view      *atomic.Pointer[surveyor.Snapshot]
 	balancer  *balancer.Balancer
 	requester *requester.Requester
-	dialect   banyanplank.Dialect
-	logger    *log.Logger
-	counters  *counters
-	holder    *holder
-	draining  atomic.Bool
-	running   atomic.Int64
+	witness   *suspecter.Witness
+	// probes are endpoints of which to find out whether they live.
+	probes   chan *banyanplank.Backend
+	dialect  banyanplank.Dialect
+	logger   *log.Logger
+	counters *counters
+	holder   *holder
+	draining atomic.Bool
+	running  atomic.Int64
 }
 
 // ServeHTTP implements http.Handler.
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -33,6 +33,21 @@
 	}
 }
 
+// gauge shows what the gateway holds and believes.
+func (g *Gateway) gauge() {
+	set := g.counters.set
+	set.NewGauge("banyanplank_held_bytes", func() float64 { return float64(g.holder.used.Load()) })
+	set.NewGauge("banyanplank_held_limit_bytes", func() float64 { return float64(g.holder.most) })
+	set.NewGauge("banyanplank_suspect_requests", func() float64 {
+		suspects, _ := g.witness.Counts()
+		return float64(suspects)
+	})
+	set.NewGauge("banyanplank_convicted_requests", func() float64 {
+		_, guilty := g.witness.Counts()
+		return float64(guilty)
+	})
+}
+
 // count counts one call.
 func (c *counters) count(f *flow) {
 	kind := "none"
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -79,6 +79,7 @@
 func (d *Daemon) start(work *pool.ContextPool) {
 	work.Go(d.loop.Run)
 	work.Go(d.stepper.Run)
+	work.Go(d.gateway.probe)
 	b := beater.New(d.settings.Listen.Peer, d.compose, d.hear, d.failBeat)
 	work.Go(b.Run)
 	work.Go(func(ctx context.Context) error {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -43,6 +43,9 @@
 // streams.
 var errSlow = errors.New("the endpoint holds up its group")
 
+// errCaller marks errors of the caller's connection.
+var errCaller = errors.New("the caller's connection")
+
 // pump passes on the events of an answer. It reports false when the answer
 // broke off and another endpoint may go on with it.
 func (f *flow) pump(exchange *requester.Exchange) (done bool) {
@@ -52,6 +55,7 @@
 	err := f.copyEvents(exchange)
 	if err == nil {
 		exchange.Whole()
+		f.gateway.witness.Completed(time.Now(), f.print)
 		f.lease.Finish(balancer.Result{Kind: balancer.Served, Cold: exchange.Reply.Cold})
 		f.ensureHead(exchange)
 		return true
@@ -143,10 +147,10 @@
 	}
 	f.ensureHead(exchange)
 	if _, err := f.writer.Write(events); err != nil {
-		return nil, errors.Wrap(err, "write to caller")
+		return nil, errors.Mark(errors.Wrap(err, "write to caller"), errCaller)
 	}
 	if err := http.NewResponseController(f.writer).Flush(); err != nil {
-		return nil, errors.Wrap(err, "write to caller")
+		return nil, errors.Mark(errors.Wrap(err, "write to caller"), errCaller)
 	}
 	return rest, nil
 }
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -19,6 +19,7 @@
 	"github.com/banyanplank/banyanplank/coordination/balancer"
 	"github.com/banyanplank/banyanplank/coordination/router"
 	"github.com/banyanplank/banyanplank/coordination/surveyor"
+	"github.com/banyanplank/banyanplank/coordination/suspecter"
 	"github.com/banyanplank/banyanplank/transport/logger"
 	"github.com/banyanplank/banyanplank/transport/requester"
 )
@@ -130,7 +131,7 @@
 		}))
 		t.Cleanup(endpoint.Close)
 		snapshot.Backends = append(snapshot.Backends, banyanplank.Backend{
-			ID: banyanplank.BackendID(fmt.Sprintf("i-%d", i)), Service: "s", Slots: 4,
+			ID: banyanplank.BackendID(fmt.Sprintf("i-%d", i)), Service: "s", Slots: 4, Born: time.UnixMilli(1),
 			Address: netip.MustParseAddrPort(strings.TrimPrefix(endpoint.URL, "http://")),
 		})
 	}
@@ -139,6 +140,8 @@
 		view:      &w.view,
 		balancer:  balancer.New(),
 		requester: requester.New(dialect{}),
+		witness:   suspecter.NewWitness(),
+		probes:    make(chan *banyanplank.Backend, maxProbes),
 		dialect:   dialect{},
 		logger:    logger.New(w.log),
 		counters:  newCounters(),
@@ -196,6 +199,13 @@
 	return answer{status: response.StatusCode, header: response.Header, body: string(text), err: err}
 }
 
+// settle makes the looks at endpoints that are due.
+func (w *world) settle(ctx context.Context) {
+	for len(w.gateway.probes) > 0 {
+		w.gateway.look(ctx, <-w.gateway.probes)
+	}
+}
+
 // sealed answers a call with text.
 func sealed(text string) handler {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/transport/requester/requester.go
+++ b/transport/requester/requester.go
@@ -174,9 +174,26 @@
 	if err != nil {
 		return nil, err
 	}
+	return newConn(plain), nil
+}
+
+// Probe connects to an endpoint and keeps the connection for the next call. It asks
+// nothing: an error tells that the endpoint does not accept connections.
+func (r *Requester) Probe(ctx context.Context, backend *banyanplank.Backend) (err error) {
+	defer func() { err = errors.Wrapf(err, "probe %s", backend.Address) }()
+	plain, err := r.dial.DialContext(ctx, "tcp", backend.Address.String())
+	if err != nil {
+		return err
+	}
+	r.put(backend.ID, newConn(plain))
+	return nil
+}
+
+// newConn returns a connection that no call has used.
+func newConn(plain net.Conn) (c *conn) {
 	c = &conn{Conn: plain, keep: DefaultIdle}
 	c.reader = bufio.NewReaderSize(c, bufferSize)
-	return c, nil
+	return c
 }
 
 // take returns the connection that was used last, or nil when it is too old.
