Believe endpoints that say that they leave or want no calls

Callers saw: calls that ended with an endpoint which had said in its answers that it leaves, because the store was away or still listed it as ready; and calls turned away again and again by an endpoint that had asked for a pause.

Cause: entries read neither field; all that was known of an endpoint came from the platform's list or from failures.

Change: both are decoded in platform/ and kept, with load and cold start, as what an incarnation has said (balancer.said), apart from what is listed. Leaving holds for the rest of the incarnation and is told to the other entries in heartbeats while the platform lists the endpoint as ready. A pause holds for the entry that was told; its calls come back one, two, four at a time, and entries spread their return. When all endpoints pause, callers are refused at once with the time left. Lines and a metric tell which endpoints are left out and why.

Evidence: TestLeavingEndpoint (6 of 9 cases), TestPausedEndpoint, TestPausedRamp and TestPausedService fail with the three conditions taken out.

--- a/call.go
+++ b/call.go
@@ -57,6 +57,18 @@
 	Load   BackendLoad
 	// Cold is how long the endpoint stays in cold start.
 	Cold time.Duration
+	// Leaving tells that the endpoint will end as planned and wants no new calls.
+	Leaving bool
+	// Pause is for how long the endpoint wants no calls from this entry.
+	Pause time.Duration
+	// Odd is what the endpoint said of its pause, if that was out of bounds.
+	Odd string
+}
+
+// Leaver is an incarnation of an endpoint that said that it leaves.
+type Leaver struct {
+	ID   BackendID
+	Born time.Time
 }
 
 // Dialect reads and writes the header fields of a platform.
--- a/coordination/balancer/balancer.go
+++ b/coordination/balancer/balancer.go
@@ -46,6 +46,8 @@
 	peers  map[banyanplank.DaemonID]peerWord
 	// slow tells until when endpoints count as slow.
 	slow map[banyanplank.BackendID]time.Time
+	// said is what endpoints have said of themselves, listed or not.
+	said map[banyanplank.BackendID]*said
 	// others counts the calls of all peers by endpoint.
 	others map[banyanplank.BackendID]int
 }
@@ -66,6 +68,7 @@
 		pools:  make(map[banyanplank.ServiceName]*pool),
 		peers:  make(map[banyanplank.DaemonID]peerWord),
 		slow:   make(map[banyanplank.BackendID]time.Time),
+		said:   make(map[banyanplank.BackendID]*said),
 		others: make(map[banyanplank.BackendID]int),
 	}
 	for _, option := range options {
@@ -120,6 +123,11 @@
 			delete(b.pools, name)
 		}
 	}
+	listed := make(map[banyanplank.BackendID]bool, len(fleet.Backends))
+	for _, backend := range fleet.Backends {
+		listed[backend.ID] = true
+	}
+	b.forgetSaid(now, listed)
 }
 
 // Hear takes in the calls that a peer has in flight.
@@ -256,7 +264,7 @@
 	switch p := b.pools[service]; {
 	case p == nil:
 		return retryUnknown
-	case p.isDown(now):
+	case p.isDown(now) || !p.isUsable(now, Query{}):
 		return p.retryBroken(now)
 	case p.spec.Engine == nil:
 		return retryFull + time.Duration(b.random.Int64N(int64(retryFull)))
@@ -289,6 +297,8 @@
 	Usable   int
 	InFlight int
 	Waiting  int
+	// Barred counts the endpoints that get no calls, by reason.
+	Barred map[Barrier]int
 	// Limit is the calls that one endpoint may hold, in the group that may least.
 	Limit float64
 	// Pace is the time between two events of a stream, in the slowest group.
--- a/coordination/balancer/lease.go
+++ b/coordination/balancer/lease.go
@@ -32,8 +32,6 @@
 // Result is how a call ended at its endpoint.
 type Result struct {
 	Kind Kind
-	// Cold is how long the endpoint says it stays in cold start.
-	Cold time.Duration
 	// Blameless tells that another endpoint was at fault.
 	Blameless bool
 }
@@ -112,9 +110,6 @@
 	}
 	s.trying = false
 	l.pool.left(now)
-	if result.Cold > 0 {
-		s.chill(now, result.Cold)
-	}
 	if result.Kind == Declined && result.Blameless && l.pool.spec.Engine != nil {
 		s.group.broken, s.group.probed = true, now
 	}
--- a/coordination/balancer/pool.go
+++ b/coordination/balancer/pool.go
@@ -123,7 +123,7 @@
 		g.pace.configure(spec.Engine, fleet.Gaps[spec.Name])
 		s := p.seats[backend.ID]
 		if s == nil || s.backend.Address != backend.Address || !s.backend.Born.Equal(backend.Born) {
-			s = newSeat(p, g)
+			s = newSeat(p, g, backend)
 			p.seats[backend.ID] = s
 			if spec.Engine != nil && g.isDown(now) {
 				g.opens = now.Add(formTime)
@@ -176,7 +176,7 @@
 		if p.isDown(now) {
 			reason = "the group of ranks stands still"
 		}
-		return nil, nil, refuse(banyanplank.ReasonNoEndpoint, p.retryBroken(now), reason)
+		return nil, nil, refuse(banyanplank.ReasonNoEndpoint, p.retryBroken(now), reason+formatBarred(p.barred(now)))
 	}
 	patience := time.Duration(float64(query.Goal) * waitShare)
 	if p.expectedWait() > patience {
@@ -209,6 +209,9 @@
 
 // retryBroken returns when a call that finds no endpoint should return.
 func (p *pool) retryBroken(now time.Time) (after time.Duration) {
+	if left, paused := p.pauseLeft(now); paused {
+		return left + time.Duration(p.owner.random.Int64N(int64(max(retryLeast, left/2))))
+	}
 	if left, known := p.opens(now); known {
 		return left + time.Duration(p.owner.random.Int64N(int64(retryLeast)))
 	}
@@ -217,7 +220,7 @@
 	}
 	soonest := retryUnknown
 	for _, s := range p.order {
-		if left := s.ejectedUntil.Sub(now); left > 0 && !s.out && !s.backend.Leaving {
+		if left := s.ejectedUntil.Sub(now); s.barrier(now) == barFailing {
 			soonest = min(soonest, left)
 		}
 	}
@@ -332,7 +335,7 @@
 
 // status describes the pool.
 func (p *pool) status(now time.Time) (status PoolStatus) {
-	status = PoolStatus{Service: p.spec.Name, Backends: len(p.order), Waiting: len(p.waiting)}
+	status = PoolStatus{Service: p.spec.Name, Backends: len(p.order), Waiting: len(p.waiting), Barred: p.barred(now)}
 	for _, g := range p.groups {
 		status.Pace = max(status.Pace, g.pace.mean)
 	}
--- a/coordination/balancer/reborn_test.go
+++ b/coordination/balancer/reborn_test.go
@@ -62,7 +62,8 @@
 				if err == nil && lease != nil {
 					served++
 					most[lease.Backend.ID]++
-					lease.Finish(Result{Kind: Served, Cold: 3*time.Second - time.Duration(second)*time.Second})
+					lease.Heard(&banyanplank.ReplyInfo{Cold: 3*time.Second - time.Duration(second)*time.Second})
+					lease.Finish(Result{Kind: Served})
 				}
 				time.Sleep(time.Second / asked)
 			}
--- a/coordination/balancer/seat.go
+++ b/coordination/balancer/seat.go
@@ -55,12 +55,18 @@
 	streak       int
 	ejectedUntil time.Time
 	trying       bool
-	coldUntil    time.Time
 	cold         bucket
+	// said is what this incarnation has said of itself.
+	said *said
+	// ramp bounds the own calls in flight after a pause that the endpoint asked
+	// for, until as many are served as it may hold. Zero is no bound.
+	ramp int
 }
 
-// newSeat returns a seat that nothing is known of.
-func newSeat(p *pool, g *group) *seat { return &seat{pool: p, group: g} }
+// newSeat returns a seat that nothing is known of but what its endpoint has said.
+func newSeat(p *pool, g *group, backend banyanplank.Backend) *seat {
+	return &seat{pool: p, group: g, said: p.owner.saidBy(backend.ID, backend.Born)}
+}
 
 // join moves the endpoint to the group that it is listed in.
 func (s *seat) join(g *group) {
@@ -86,10 +92,10 @@
 // entries, which learn of it together: each begins at another part of the time
 // between two of its calls, so that all together send at the rate from then on.
 func (s *seat) chill(now time.Time, left time.Duration) {
-	if !now.Before(s.coldUntil) {
+	if !now.Before(s.said.cold) {
 		s.cold.tokens, s.cold.at = s.pool.owner.random.Float64(), now
 	}
-	s.coldUntil = now.Add(left)
+	s.said.cold = now.Add(left)
 }
 
 // returnCold is how long endpoints of a zone that returns count as cold.
@@ -101,25 +107,20 @@
 }
 
 // isUsable reports whether the endpoint may get work when it has room.
-func (s *seat) isUsable(now time.Time) bool {
-	if s.out || s.backend.Leaving {
-		return false
-	}
-	if now.Before(s.ejectedUntil) {
-		return false
-	}
-	// After a time out, one call at a time shows whether it is well again.
-	return s.streak == 0 || !s.trying
-}
+func (s *seat) isUsable(now time.Time) bool { return s.barrier(now) == barNone }
 
 // isSlow reports whether the endpoint holds up its group of ranks.
 func (s *seat) isSlow(now time.Time) bool {
 	return now.Before(s.pool.owner.slow[s.backend.ID])
 }
 
-// hasRate reports whether the endpoint's cold start allows one more call.
+// hasRate reports whether the endpoint's cold start, and its return from a pause, allow
+// one more call.
 func (s *seat) hasRate(now time.Time) bool {
-	return !now.Before(s.coldUntil) || s.cold.has(now)
+	if s.ramp > 0 && s.own >= s.ramp {
+		return false
+	}
+	return !now.Before(s.said.cold) || s.cold.has(now)
 }
 
 // cost returns how little the endpoint suits one more call.
@@ -155,7 +156,7 @@
 	if s.streak > 0 {
 		s.trying = true
 	}
-	if now.Before(s.coldUntil) {
+	if now.Before(s.said.cold) {
 		s.cold.take(now)
 	}
 }
@@ -174,6 +175,9 @@
 	s.learn(now)
 	s.failures -= failureDecay * s.failures
 	s.streak = 0
+	if s.ramp *= 2; float64(s.ramp) >= s.pool.limit(s) {
+		s.ramp = 0
+	}
 	if s.latency == 0 {
 		s.latency = latency
 		return
--- a/coordination/beater/beat.go
+++ b/coordination/beater/beat.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
@@ -37,6 +38,9 @@
 	Revisions map[banyanplank.Topic]banyanplank.Version
 	// Findings tell of requests that crash endpoints.
 	Findings []banyanplank.Finding
+	// Leavers are endpoints that said that they leave, while the platform lists
+	// them as ready.
+	Leavers []banyanplank.Leaver
 }
 
 // maxBeat is the longest heartbeat in bytes.
@@ -64,6 +68,10 @@
 	for _, id := range beat.Slow {
 		message.Slow = append(message.Slow, string(id))
 	}
+	for _, l := range beat.Leavers {
+		message.Leavers = append(message.Leavers, string(l.ID))
+		message.Births = append(message.Births, l.Born.UnixMilli())
+	}
 	for topic, revision := range beat.Revisions {
 		message.Topics = append(message.Topics, string(topic))
 		message.Revisions = append(message.Revisions, uint64(revision))
@@ -104,7 +112,7 @@
 	if err := proto.Unmarshal(text, &message); err != nil {
 		return nil, err
 	}
-	if len(message.Endpoints) != len(message.Counts) || len(message.Topics) != len(message.Revisions) {
+	if len(message.Endpoints) != len(message.Counts) || len(message.Topics) != len(message.Revisions) || len(message.Leavers) != len(message.Births) {
 		return nil, errors.New("lists of different lengths")
 	}
 	beat = &Beat{
@@ -130,6 +138,9 @@
 	for _, id := range message.Slow {
 		beat.Slow = append(beat.Slow, banyanplank.BackendID(id))
 	}
+	for i, id := range message.Leavers {
+		beat.Leavers = append(beat.Leavers, banyanplank.Leaver{ID: banyanplank.BackendID(id), Born: time.UnixMilli(message.Births[i])})
+	}
 	for i, topic := range message.Topics {
 		beat.Revisions[banyanplank.Topic(topic)] = banyanplank.Version(message.Revisions[i])
 	}
--- a/coordination/beater/beater_test.go
+++ b/coordination/beater/beater_test.go
@@ -78,6 +78,7 @@
 		"half a port":    pulse(func(p *pulser.Pulse) { p.Peer = p.Peer[:5] }),
 		"no count":       pulse(func(p *pulser.Pulse) { p.Endpoints = []string{"x"} }),
 		"no revision":    pulse(func(p *pulser.Pulse) { p.Topics = []string{"x"} }),
+		"no birth":       pulse(func(p *pulser.Pulse) { p.Leavers = []string{"x"} }),
 		"cut in a field": pulse(func(*pulser.Pulse) {})[:4],
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -110,6 +111,10 @@
 			sent.Slow = append(sent.Slow, banyanplank.BackendID(id))
 			sent.Revisions[banyanplank.Topic(id)] = banyanplank.Version(rapid.Uint64().Draw(t, "revision"))
 		}
+		for id := range sent.InFlight {
+			born := time.UnixMilli(rapid.Int64Range(0, 1<<45).Draw(t, "born"))
+			sent.Leavers = append(sent.Leavers, banyanplank.Leaver{ID: id, Born: born})
+		}
 		for range rapid.IntRange(0, 3).Draw(t, "findings") {
 			span := rapid.Custom(func(t *rapid.T) time.Duration {
 				return time.Duration(rapid.IntRange(0, 600_000).Draw(t, "ms")) * time.Millisecond
--- a/coordination/suspecter/witness.go
+++ b/coordination/suspecter/witness.go
@@ -220,6 +220,13 @@
 	}
 }
 
+// Leaves takes in that an endpoint said that it leaves.
+func (w *Witness) Leaves(now time.Time, id banyanplank.BackendID, born time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.leave(now, incarnationOf(id, born))
+}
+
 // leave notes that an incarnation will end as planned, which counts against no request.
 func (w *Witness) leave(now time.Time, key incarnation) {
 	w.leaving[key] = now
--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -58,6 +58,7 @@
 		Slow:        d.slowNow(),
 		Revisions:   snapshot.Revisions,
 		Findings:    d.gateway.witness.Tell(time.Now()),
+		Leavers:     d.balancer.Leavers(),
 	}
 }
 
@@ -66,6 +67,9 @@
 	d.balancer.Hear(time.Now(), beat.From, beat.InFlight)
 	d.balancer.Slow(time.Now(), beat.Slow)
 	d.gateway.witness.Learn(time.Now(), beat.Findings)
+	for _, l := range d.balancer.HearLeaving(time.Now(), beat.Leavers) {
+		d.gateway.noteLeaver(l, "entry "+string(beat.From))
+	}
 	d.relay.hear(beat.Peer, beat.Revisions)
 	for topic, revision := range beat.Revisions {
 		// Peers tell of themselves in their heartbeats.
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -153,6 +153,7 @@
 		return f.misdirected(exchange)
 	}
 	f.sends++
+	f.hear(&exchange.Reply)
 	if exchange.Reply.NotRun {
 		return f.declined(exchange)
 	}
@@ -287,7 +288,6 @@
 	faulty := exchange.Reply.Faulty
 	f.lease.Finish(balancer.Result{
 		Kind:      balancer.Declined,
-		Cold:      exchange.Reply.Cold,
 		Blameless: faulty != "" && faulty != string(f.lease.Backend.ID),
 	})
 	f.result.detail = "declined with status " + strconv.Itoa(exchange.Response.StatusCode) + ", at fault: " + faulty
@@ -321,7 +321,7 @@
 	if response.StatusCode >= http.StatusInternalServerError {
 		kind = balancer.Failed
 	}
-	f.lease.Finish(balancer.Result{Kind: kind, Cold: exchange.Reply.Cold})
+	f.lease.Finish(balancer.Result{Kind: kind})
 	f.result.first = time.Since(f.arrived)
 	f.writeHead(response, len(body))
 	if _, err := f.writer.Write(body); err != nil {
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -36,6 +36,7 @@
 // gauge shows what the gateway holds and believes.
 func (g *Gateway) gauge() {
 	set := g.counters.set
+	g.gaugeBarred()
 	set.NewGauge("banyanplank_held_bytes", func() float64 { return float64(g.holder.used.Load()) })
 	set.NewGauge("banyanplank_held_limit_bytes", func() float64 { return float64(g.holder.most) })
 	set.NewGauge("banyanplank_suspect_requests", func() float64 {
@@ -48,6 +49,18 @@
 	})
 }
 
+// gaugeBarred shows the endpoints that get no calls, by reason.
+func (g *Gateway) gaugeBarred() {
+	for _, reason := range balancer.Barriers {
+		g.counters.set.NewGauge(`banyanplank_endpoints_barred{reason="`+reason.String()+`"}`, func() (count float64) {
+			for _, p := range g.balancer.Status() {
+				count += float64(p.Barred[reason])
+			}
+			return count
+		})
+	}
+}
+
 // count counts one call.
 func (c *counters) count(f *flow) {
 	kind := "none"
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -56,7 +56,7 @@
 	if err == nil {
 		exchange.Whole()
 		f.gateway.witness.Completed(time.Now(), f.print)
-		f.lease.Finish(balancer.Result{Kind: balancer.Served, Cold: exchange.Reply.Cold})
+		f.lease.Finish(balancer.Result{Kind: balancer.Served})
 		f.ensureHead(exchange)
 		return true
 	}
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -50,9 +50,20 @@
 		NotRun:  response.Header.Get("Not-Run") != "",
 
 		Misdirected: response.StatusCode == http.StatusMisdirectedRequest,
+		Leaving:     response.Header.Get("Leaving") != "",
+		Pause:       pauseOf(response.Header.Get("Pause")),
 	}
 }
 
+// pauseOf reads a time, or none.
+func pauseOf(text string) (d time.Duration) {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return 0
+	}
+	return d
+}
+
 func (dialect) Refuse(header http.Header, after time.Duration) {
 	if after > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
@@ -220,6 +231,14 @@
 	w.Header().Set("Seal", "by "+r.Host)
 }
 
+// saying has an endpoint say something of itself with what it does.
+func saying(name, value string, then handler) handler {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(name, value)
+		then(w, r)
+	}
+}
+
 // broken closes the connection without an answer.
 func broken(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
