Take an answer, not an open port, as the sign that an endpoint lives

A proxy or another process may accept connections at the address of an endpoint that has ended. A run that broke now waits for word on its endpoint until a call that was sent later is answered, not until a connection is accepted, so that a restart that is listed later still counts. What began after the end never reached the endpoint and counts for nothing.

TestWitness has both cases; 'endpoints that answer only what began before' fails on the code before.

--- a/coordination/suspecter/witness.go
+++ b/coordination/suspecter/witness.go
@@ -87,14 +87,16 @@
 // which stands beside one endpoint and sees all that runs there, an entry sees its own
 // requests at all endpoints, and learns late which of these have died. A run that broke
 // counts against its request once the endpoint is known to have ended, and not if it
-// lives on. Its methods may be called from many goroutines.
+// has answered since. Its methods may be called from many goroutines.
 type Witness struct {
 	mutex    sync.Mutex
 	note     func(n Note)
 	suspects *Suspects
 	// any tells that some request is suspect, so that calls need not wait for
 	// each other while none is.
-	any     atomic.Bool
+	any atomic.Bool
+	// waits tells that some run waits for word on its endpoint.
+	waits   atomic.Bool
 	pending map[incarnation][]broken
 	waiting int
 	probing map[incarnation]bool
@@ -137,7 +139,7 @@
 }
 
 // Broke takes in a run that broke off. It reports whether to find out if the endpoint
-// still lives, which Lives or Died then tells.
+// still lives, which Probed or Died then tells.
 func (w *Witness) Broke(now time.Time, r Run) (probe bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -155,8 +157,7 @@
 	if w.waiting >= mostPending {
 		return false
 	}
-	w.pending[key] = append(w.pending[key], broken{Run: r, at: now})
-	w.waiting++
+	w.wait(now, key, r)
 	probe = !w.probing[key]
 	w.probing[key] = true
 	return probe
@@ -169,25 +170,19 @@
 	defer w.mutex.Unlock()
 	w.forget(now)
 	if w.waiting < mostPending {
-		key := incarnationOf(r.Endpoint, r.Born)
-		w.pending[key] = append(w.pending[key], broken{Run: r, at: now})
-		w.waiting++
+		w.wait(now, incarnationOf(r.Endpoint, r.Born), r)
 	}
 }
 
-// Lives takes in that an endpoint was found alive when it was asked at a time: what had
-// broken there before was not its end.
-func (w *Witness) Lives(asked time.Time, id banyanplank.BackendID, born time.Time) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	key := incarnationOf(id, born)
-	delete(w.probing, key)
-	before := len(w.pending[key])
-	w.keep(key, slices.DeleteFunc(w.pending[key], func(b broken) bool { return !b.at.After(asked) }), before)
+// wait has a run wait for word on its endpoint.
+func (w *Witness) wait(now time.Time, key incarnation, r Run) {
+	w.keep(key, append(w.pending[key], broken{Run: r, at: now}), len(w.pending[key]))
 }
 
-// Unknown takes in that an endpoint could not be asked whether it lives.
-func (w *Witness) Unknown(id banyanplank.BackendID, born time.Time) {
+// Probed takes in that a look whether an endpoint lives has ended without showing that
+// it is dead. Something else may accept connections at its address, so this alone does
+// not show that it lives.
+func (w *Witness) Probed(id banyanplank.BackendID, born time.Time) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	delete(w.probing, incarnationOf(id, born))
@@ -233,14 +228,19 @@
 	w.keep(key, nil, len(w.pending[key]))
 }
 
-// Completed takes in that a request ran to its end.
-func (w *Witness) Completed(now time.Time, request banyanplank.Fingerprint) {
-	if !w.any.Load() {
+// Completed takes in a run that went to its end. Its endpoint was alive after it began, so
+// that what had broken there before was not its end.
+func (w *Witness) Completed(now time.Time, r Run) {
+	if !w.any.Load() && !w.waits.Load() {
 		return
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	cleared := banyanplank.Finding{Kind: banyanplank.FindingCleared, Requests: []banyanplank.Fingerprint{request}}
+	key := incarnationOf(r.Endpoint, r.Born)
+	if before := len(w.pending[key]); before > 0 {
+		w.keep(key, slices.DeleteFunc(w.pending[key], func(b broken) bool { return b.at.Before(r.Began) }), before)
+	}
+	cleared := banyanplank.Finding{Kind: banyanplank.FindingCleared, Requests: []banyanplank.Fingerprint{r.Request}}
 	if w.suspects.Observe(now, cleared) {
 		w.tell(now, cleared)
 		w.judged(now, "ran to its end", 0)
@@ -317,6 +317,8 @@
 	}
 	w.dead[key] = died
 	w.keep(key, nil, len(runs))
+	// What began later never reached this incarnation.
+	runs = slices.DeleteFunc(runs, func(b broken) bool { return !b.Began.Before(died) })
 	if len(runs) > 0 {
 		w.accuse(now, key, died, runs, how)
 	}
@@ -365,6 +367,7 @@
 // keep replaces the runs that wait for word on an incarnation.
 func (w *Witness) keep(key incarnation, runs []broken, before int) {
 	w.waiting += len(runs) - before
+	w.waits.Store(w.waiting > 0)
 	if len(runs) == 0 {
 		delete(w.pending, key)
 		return
--- a/coordination/suspecter/witness_test.go
+++ b/coordination/suspecter/witness_test.go
@@ -40,10 +40,19 @@
 			for i := range 5 {
 				at := time.Duration(i) * s
 				w.Broke(epoch.Add(at+s/2), runAt(bad, "1", at))
-				w.Lives(epoch.Add(at+s/2), "1", epoch)
+				w.Probed("1", epoch)
+				w.Completed(epoch.Add(at+3*s/4), runAt(good, "1", at+s/2+1))
 			}
 			w.Died(epoch.Add(9*s), "1", epoch)
 		}, false, false},
+		"endpoints that answer only what began before": {func(w *Witness) {
+			for i, endpoint := range []string{"1", "2"} {
+				at := time.Duration(2*i) * s
+				w.Broke(epoch.Add(at+s), runAt(bad, endpoint, at))
+				w.Completed(epoch.Add(at+s+1), runAt(good, endpoint, at))
+			}
+			w.Listed(epoch.Add(6*s), []banyanplank.Backend{{ID: "1", Born: epoch.Add(4 * s)}, {ID: "2", Born: epoch.Add(5 * s)}})
+		}, true, false},
 		"two endpoints of a lost zone": {func(w *Witness) {
 			die(w, runAt(bad, "1", 0), s)
 			die(w, runAt(bad, "2", 0), s+time.Millisecond)
@@ -61,7 +70,7 @@
 				w.Broke(epoch.Add(at+s), runAt(good, endpoint, at))
 				die(w, runAt(bad, endpoint, at), at+s)
 			}
-			w.Completed(epoch.Add(5*s), good)
+			w.Completed(epoch.Add(5*s), runAt(good, "3", 4*s))
 		}, true, false},
 		"three deaths with bystanders": {func(w *Witness) {
 			for i, endpoint := range []string{"1", "2", "3"} {
@@ -74,7 +83,7 @@
 		}, true, false},
 		"completed between two deaths": {func(w *Witness) {
 			die(w, runAt(bad, "1", 0), s)
-			w.Completed(epoch.Add(2*s), bad)
+			w.Completed(epoch.Add(2*s), runAt(bad, "3", s))
 			die(w, runAt(bad, "2", 3*s), 4*s)
 		}, false, false},
 		"planned leaving": {func(w *Witness) {
@@ -226,7 +235,8 @@
 				f.crash(endpoint, 2*time.Second)
 				w.Died(f.now, id, r.Born)
 			case 2, 3: // a sound request completes
-				w.Completed(f.now, printOf("a", "sound"))
+				r.Request = printOf("a", "sound")
+				w.Completed(f.now, r)
 			default:
 				if guilty, _ := w.Judge(f.now, bad); guilty {
 					continue
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -309,7 +309,7 @@
 		return f.broken(errors.New("answer without seal"))
 	}
 	exchange.Whole()
-	f.gateway.witness.Completed(time.Now(), f.print)
+	f.gateway.witness.Completed(time.Now(), f.lastRun())
 	if response.StatusCode >= http.StatusInternalServerError && f.route.Kind == banyanplank.RouteRepeatable {
 		f.ran = true
 		if f.mayRepeat() {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -55,7 +55,7 @@
 	err := f.copyEvents(exchange)
 	if err == nil {
 		exchange.Whole()
-		f.gateway.witness.Completed(time.Now(), f.print)
+		f.gateway.witness.Completed(time.Now(), f.lastRun())
 		f.lease.Finish(balancer.Result{Kind: balancer.Served})
 		f.ensureHead(exchange)
 		return true
--- a/gateway/witness.go
+++ b/gateway/witness.go
@@ -59,7 +59,7 @@
 	select {
 	case f.gateway.probes <- f.lease.Backend:
 	default:
-		f.gateway.witness.Unknown(f.lease.Backend.ID, f.lease.Backend.Born)
+		f.gateway.witness.Probed(f.lease.Backend.ID, f.lease.Backend.Born)
 		f.gateway.counters.set.GetOrCreateCounter("banyanplank_probes_dropped_total").Inc()
 	}
 }
@@ -117,16 +117,15 @@
 
 // look finds out whether an endpoint lives.
 func (g *Gateway) look(ctx context.Context, backend *banyanplank.Backend) {
-	asked := time.Now()
 	err := g.requester.Probe(ctx, backend)
 	g.counters.set.GetOrCreateCounter("banyanplank_probes_total").Inc()
 	switch {
 	case err == nil:
-		g.witness.Lives(asked, backend.ID, backend.Born)
+		g.witness.Probed(backend.ID, backend.Born)
 	case errors.Is(err, syscall.ECONNREFUSED):
 		g.witness.Died(time.Now(), backend.ID, backend.Born)
 	default:
-		g.witness.Unknown(backend.ID, backend.Born)
+		g.witness.Probed(backend.ID, backend.Born)
 		g.logger.Warn().Err(err).Str("endpoint", string(backend.ID)).Msg("probe failed")
 	}
 }
