Acquit a sound request that many callers make beside a crashing one

Cause: a run to the end counted only while its request was known as suspect. Deaths that are learned late, from a listing, came after the runs that would have cleared it; and findings that are repeated accused it again.

Change: a run to the end takes back what had broken of the same request and waits for word; earlier deaths no longer count once it is known; and a convicted request that began after the last of its deaths and ran to its end is acquitted at all entries. A request that crashes what runs it never does.

--- a/coordination/beater/beater_test.go
+++ b/coordination/beater/beater_test.go
@@ -120,7 +120,7 @@
 				return time.Duration(rapid.IntRange(0, 600_000).Draw(t, "ms")) * time.Millisecond
 			})
 			sent.Findings = append(sent.Findings, banyanplank.Finding{
-				Kind:     banyanplank.FindingKind(rapid.IntRange(0, 3).Draw(t, "kind")),
+				Kind:     banyanplank.FindingKind(rapid.IntRange(0, 4).Draw(t, "kind")),
 				Death:    banyanplank.DeathID(rapid.Uint64().Draw(t, "death")),
 				Requests: []banyanplank.Fingerprint{1, banyanplank.Fingerprint(rapid.Uint64().Draw(t, "request"))},
 				Ran:      []time.Duration{span.Draw(t, "ran"), span.Draw(t, "ran")},
@@ -150,7 +150,7 @@
 	for i := range 2000 {
 		id, now := banyanplank.BackendID(fmt.Sprint(i)), began.Add(time.Duration(i)*time.Millisecond)
 		for account := range 3 {
-			w.Broke(now, suspecter.Run{Request: banyanplank.NewFingerprint(banyanplank.AccountID(fmt.Sprint(account)), "h", "/", nil), Endpoint: id, Began: now})
+			w.Broke(now, suspecter.Run{Request: banyanplank.NewFingerprint(banyanplank.AccountID(fmt.Sprint(account)), "h", "/", nil), Endpoint: id, Began: now.Add(-time.Second)})
 		}
 		w.Died(now, id, time.Time{})
 	}
--- a/coordination/suspecter/suspects.go
+++ b/coordination/suspecter/suspects.go
@@ -43,6 +43,12 @@
 type Suspects struct {
 	accounts map[uint32]map[banyanplank.Fingerprint]*suspect
 	deaths   map[banyanplank.DeathID]*death
+	// ended tells when suspects last ran to their end. Earlier deaths, which other
+	// daemons go on to tell of, no longer count against them.
+	ended map[banyanplank.Fingerprint]time.Time
+	// acquitted tells until when the word of others that requests are guilty does
+	// not count: some may not know yet that these ran to their end.
+	acquitted map[banyanplank.Fingerprint]time.Time
 }
 
 // NewSuspects returns an empty memory.
@@ -50,6 +56,9 @@
 	return &Suspects{
 		accounts: map[uint32]map[banyanplank.Fingerprint]*suspect{},
 		deaths:   map[banyanplank.DeathID]*death{},
+
+		ended:     map[banyanplank.Fingerprint]time.Time{},
+		acquitted: map[banyanplank.Fingerprint]time.Time{},
 	}
 }
 
@@ -105,9 +114,11 @@
 		case banyanplank.FindingWithdrawn:
 			news = s.withdraw(request, finding.Death) || news
 		case banyanplank.FindingCleared:
-			news = s.clear(request) || news
+			news = s.clear(now.Add(-finding.Age), request) || news
 		case banyanplank.FindingConvicted:
 			news = s.convict(now, request, finding.Left) || news
+		case banyanplank.FindingAcquitted:
+			news = s.acquit(now, now.Add(-finding.Age), request) || news
 		}
 	}
 	return news
@@ -141,6 +152,9 @@
 
 // accuse adds a death to a request.
 func (s *Suspects) accuse(now time.Time, request banyanplank.Fingerprint, r run) (news bool) {
+	if ended, known := s.ended[request]; known && !r.at.After(ended) {
+		return false
+	}
 	found := s.suspect(now, request)
 	if found == nil {
 		return false
@@ -162,7 +176,7 @@
 // to be guilty stays so no longer for it, or daemons would keep each other's word alive.
 func (s *Suspects) convict(now time.Time, request banyanplank.Fingerprint, left time.Duration) (news bool) {
 	left = min(left, expiry)
-	if left <= 0 || s.Judge(now, request) == VerdictRefused {
+	if left <= 0 || now.Before(s.acquitted[request]) || s.Judge(now, request) == VerdictRefused {
 		return false
 	}
 	found := s.suspect(now, request)
@@ -217,27 +231,68 @@
 	before := len(found.runs)
 	found.runs = slices.DeleteFunc(found.runs, func(r run) bool { return r.id == id })
 	if len(found.runs) == 0 {
-		s.clear(request)
+		s.forget(request, found)
 	}
 	return len(found.runs) < before
 }
 
-// clear forgets a request that ended well, so that it takes no blame off those that
-// ran beside it. One that is found guilty stays.
-func (s *Suspects) clear(request banyanplank.Fingerprint) (news bool) {
-	named := s.accounts[request.Account()]
-	found := named[request]
+// clear forgets a request that ended well at a time. One that is found guilty stays.
+func (s *Suspects) clear(at time.Time, request banyanplank.Fingerprint) (news bool) {
+	found := s.accounts[request.Account()][request]
 	if found == nil || found.isGuilty() {
 		return false
 	}
+	s.ranTo(at, request)
+	s.forget(request, found)
+	return true
+}
+
+// ranTo notes that a request ran to its end at a time.
+func (s *Suspects) ranTo(at time.Time, request banyanplank.Fingerprint) {
+	if at.After(s.ended[request]) && len(s.ended) < mostKnown {
+		s.ended[request] = at
+	}
+}
+
+// acquit forgets a request that ended well at a time, after all deaths that are laid to
+// it.
+func (s *Suspects) acquit(now, at time.Time, request banyanplank.Fingerprint) (news bool) {
+	s.ranTo(at, request)
+	if len(s.acquitted) < mostKnown {
+		s.acquitted[request] = now.Add(expiry)
+	}
+	found := s.accounts[request.Account()][request]
+	if found == nil {
+		return false
+	}
+	s.forget(request, found)
+	return true
+}
+
+// LastDeath returns when the last endpoint died at which a request ran, if that is known.
+func (s *Suspects) LastDeath(request banyanplank.Fingerprint) (at time.Time, known bool) {
+	found := s.accounts[request.Account()][request]
+	if found == nil {
+		return at, false
+	}
+	for _, r := range found.runs {
+		if r.at.After(at) {
+			at = r.at
+		}
+	}
+	return at, len(found.runs) > 0
+}
+
+// forget drops a suspect, which takes no blame off those that ran beside it.
+func (s *Suspects) forget(request banyanplank.Fingerprint, found *suspect) {
 	for _, r := range found.runs {
 		r.beside = slices.DeleteFunc(r.beside, func(f banyanplank.Fingerprint) bool { return f == request })
 	}
+	named := s.accounts[request.Account()]
 	delete(named, request)
 	if len(named) == 0 {
 		delete(s.accounts, request.Account())
 	}
-	return true
 }
 
 // Expire forgets what no longer counts.
@@ -252,5 +307,7 @@
 			delete(s.accounts, account)
 		}
 	}
+	maps.DeleteFunc(s.ended, func(_ banyanplank.Fingerprint, at time.Time) bool { return now.Sub(at) > expiry })
+	maps.DeleteFunc(s.acquitted, func(_ banyanplank.Fingerprint, until time.Time) bool { return now.After(until) })
 	maps.DeleteFunc(s.deaths, func(_ banyanplank.DeathID, d *death) bool { return now.After(d.until) })
 }
--- a/coordination/suspecter/witness.go
+++ b/coordination/suspecter/witness.go
@@ -62,6 +62,7 @@
 const (
 	EventDied      = "endpoint died"
 	EventConvicted = "request convicted"
+	EventAcquitted = "request acquitted"
 )
 
 // Note is a change of what a witness believes.
@@ -228,21 +229,39 @@
 	w.keep(key, nil, len(w.pending[key]))
 }
 
-// Completed takes in a run that went to its end. Its endpoint was alive after it began, so
-// that what had broken there before was not its end.
+// Completed takes in a run that went to its end. A request that crashes endpoints never
+// does, so what broke of the same request was not its fault; and its endpoint was alive
+// after it began, so what had broken there before was not the endpoint's end.
 func (w *Witness) Completed(now time.Time, r Run) {
 	if !w.any.Load() && !w.waits.Load() {
 		return
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	key := incarnationOf(r.Endpoint, r.Born)
-	if before := len(w.pending[key]); before > 0 {
-		w.keep(key, slices.DeleteFunc(w.pending[key], func(b broken) bool { return b.at.Before(r.Began) }), before)
+	place := incarnationOf(r.Endpoint, r.Born)
+	for key, runs := range w.pending {
+		before := len(runs)
+		w.keep(key, slices.DeleteFunc(runs, func(b broken) bool {
+			return b.Request == r.Request || key == place && b.at.Before(r.Began)
+		}), before)
+	}
+	w.exonerate(now, r)
+}
+
+// exonerate tells the other entries that a suspect ran to its end. One that is convicted
+// has to have begun after the last death that is laid to it.
+func (w *Witness) exonerate(now time.Time, r Run) {
+	finding := banyanplank.Finding{Kind: banyanplank.FindingCleared, Requests: []banyanplank.Fingerprint{r.Request}}
+	if w.suspects.Judge(now, r.Request) == VerdictRefused {
+		last, known := w.suspects.LastDeath(r.Request)
+		if !known || r.Began.Before(last) {
+			return
+		}
+		finding.Kind = banyanplank.FindingAcquitted
+		w.note(Note{Event: EventAcquitted, Endpoint: r.Endpoint, Requests: finding.Requests, How: "ran to its end", Age: now.Sub(last)})
 	}
-	cleared := banyanplank.Finding{Kind: banyanplank.FindingCleared, Requests: []banyanplank.Fingerprint{r.Request}}
-	if w.suspects.Observe(now, cleared) {
-		w.tell(now, cleared)
+	if w.suspects.Observe(now, finding) {
+		w.tell(now, finding)
 		w.judged(now, "ran to its end", 0)
 	}
 }
--- a/coordination/suspecter/witness_test.go
+++ b/coordination/suspecter/witness_test.go
@@ -122,6 +122,95 @@
 	}
 }
 
+// TestPopularRequestBesideCrashes has many callers make the same sound call while another
+// one crashes endpoint after endpoint, each of which is found out late. It was refused for
+// ten minutes (soak, seeds 1 and 2).
+func TestPopularRequestBesideCrashes(t *testing.T) {
+	const s = time.Second
+	bad, popular := printOf("a", "bad"), printOf("a", "popular")
+	for name, isLate := range map[string]bool{"found out at once": false, "found out late": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			all := []*Witness{NewWitness(), NewWitness()}
+			now := epoch
+			exchange := func() {
+				all[0].Learn(now, all[1].Tell(now))
+				all[1].Learn(now, all[0].Tell(now))
+			}
+			var ended []banyanplank.BackendID
+			for i := range 12 {
+				w, other := all[i%2], all[(i+1)%2]
+				id := banyanplank.BackendID(fmt.Sprint("x", i))
+				began := now
+				now = now.Add(s / 10)
+				for _, r := range []Run{
+					{Request: popular, Endpoint: id, Born: epoch, Began: began},
+					{Request: bad, Endpoint: id, Born: epoch, Began: began},
+				} {
+					if guilty, _ := w.Judge(began, r.Request); !guilty {
+						w.Broke(now, r)
+					}
+				}
+				// The popular request is in flight elsewhere at both entries.
+				flying := Run{Request: popular, Endpoint: "sound", Born: epoch, Began: now}
+				ended = append(ended, id)
+				if !isLate {
+					w.Died(now, id, epoch)
+				}
+				now = now.Add(s / 10)
+				exchange()
+				w.Completed(now, flying)
+				other.Completed(now, flying)
+				exchange()
+			}
+			if isLate {
+				var listed []banyanplank.Backend
+				for _, id := range ended {
+					listed = append(listed, banyanplank.Backend{ID: id, Born: now})
+				}
+				all[0].Listed(now, listed)
+				exchange()
+				all[1].Listed(now, listed)
+				exchange()
+				flying := Run{Request: popular, Endpoint: "sound", Born: epoch, Began: now}
+				all[0].Completed(now.Add(s/10), flying)
+				exchange()
+			}
+			for _, w := range all {
+				guilty, _ := w.Judge(now, popular)
+				is.True(!guilty)
+				guilty, _ = w.Judge(now, bad)
+				is.True(guilty)
+			}
+		})
+	}
+}
+
+// TestAcquitted has a convicted request that is then seen to run to its end be sent
+// again everywhere, whatever an entry that missed it still tells.
+func TestAcquitted(t *testing.T) {
+	is := is.New(t)
+	request := printOf("a", "unlucky")
+	one, two, deaf := NewWitness(), NewWitness(), NewWitness()
+	die(one, runAt(request, "1", 0), time.Second)
+	die(one, runAt(request, "2", 2*time.Second), 3*time.Second)
+	told := one.Tell(epoch.Add(3 * time.Second))
+	two.Learn(epoch.Add(3*time.Second), told)
+	deaf.Learn(epoch.Add(3*time.Second), told)
+	guilty, _ := two.Judge(epoch.Add(4*time.Second), request)
+	is.True(guilty)
+	two.Completed(epoch.Add(4*time.Second), runAt(request, "3", 2*time.Second)) // began too early to tell
+	guilty, _ = two.Judge(epoch.Add(4*time.Second), request)
+	is.True(guilty)
+	two.Completed(epoch.Add(4*time.Second), runAt(request, "3", 3500*time.Millisecond))
+	one.Learn(epoch.Add(4*time.Second), two.Tell(epoch.Add(4*time.Second)))
+	one.Learn(epoch.Add(5*time.Second), deaf.Tell(epoch.Add(5*time.Second)))
+	for _, w := range []*Witness{one, two} {
+		guilty, _ = w.Judge(epoch.Add(6*time.Second), request)
+		is.True(!guilty)
+	}
+}
+
 // TestWitnessesTellEachOther has deaths that several entries saw add up, and an entry
 // that starts later know the request as well.
 func TestWitnessesTellEachOther(t *testing.T) {
--- a/finding.go
+++ b/finding.go
@@ -61,6 +61,8 @@
 	FindingCleared
 	// FindingConvicted reports requests that are found to crash endpoints.
 	FindingConvicted
+	// FindingAcquitted reports convicted requests that ran to their end all the same.
+	FindingAcquitted
 )
 
 // Finding is what daemons tell each other of crashing requests. It takes about
--- a/protocol/carrier/finding.go
+++ b/protocol/carrier/finding.go
@@ -26,7 +26,7 @@
 // findings of a kind that this build does not know.
 func DecodeFindings(messages []*Finding) (findings []banyanplank.Finding) {
 	for _, message := range messages {
-		if message.GetKind() > uint32(banyanplank.FindingConvicted) {
+		if message.GetKind() > uint32(banyanplank.FindingAcquitted) {
 			continue
 		}
 		f := banyanplank.Finding{
