Play crashing requests, pausing and self-announced leavers in the soak

Three checks: a crashing request is sent three times more at most, 4 s after the third crash; a server that wants no calls from an entry gets two at most from half a second on; a leaving one gets none 3 s on, as before.

The new faults are drawn from a source of their own, so that seeds that once failed draw what they did. TestChecks has cases of both sides of each bound.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -70,11 +70,14 @@
 	runs := w.ledger.Runs()
 	byAttempt := make(map[string][]mimic.Run, len(runs))
 	for _, r := range runs {
-		byAttempt[r.Attempt] = append(byAttempt[r.Attempt], r)
+		if !r.Turned {
+			byAttempt[r.Attempt] = append(byAttempt[r.Attempt], r)
+		}
 	}
 	return []Promise{
 		checkOnce(records, byAttempt), checkRefusals(records, byAttempt), checkAnswers(records),
 		w.checkClaims(runs), w.checkVersions(records), w.checkStops(records), w.checkProcesses(), w.checkBack(records),
+		w.checkCrashes(runs), w.checkPauses(records, runs),
 	}
 }
 
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -48,6 +48,25 @@
 		w := &world{calms: []span{{begin, at(calmTime)}}}
 		return w.checkBack([]*record{call("look", backTime+time.Second, reply, nil)})
 	}
+	crashed := func(after time.Duration, count int, holds ...span) Promise {
+		w := &world{crashes: map[string]netip.AddrPort{"crash-desk-1": address}, holds: map[netip.AddrPort][]span{address: holds}}
+		var runs []mimic.Run
+		for range crashesKnown {
+			runs = append(runs, mimic.Run{Attempt: "crash-desk-1", Crashed: true, At: begin})
+		}
+		for range count {
+			runs = append(runs, mimic.Run{Attempt: "crash-desk-1", Crashed: true, At: at(after)})
+		}
+		return w.checkCrashes(runs)
+	}
+	turned := func(holds []span, after ...time.Duration) Promise {
+		w := &world{holds: map[netip.AddrPort][]span{address: holds}}
+		var runs []mimic.Run
+		for _, d := range after {
+			runs = append(runs, mimic.Run{Attempt: "x", Server: "s", Turned: true, At: at(d)})
+		}
+		return w.checkPauses([]*record{call("look", 0, refused, nil)}, runs)
+	}
 	cut := errors.Wrap(io.ErrUnexpectedEOF, "post")
 	dial := &net.OpError{Op: "dial", Err: io.EOF}
 	tests := map[string]struct {
@@ -77,6 +96,14 @@
 		"a stop in trouble":            {stopped([]span{{at(0), at(time.Second)}}, call("once", 0, mimic.Reply{}, cut)), false},
 		"back":                         {back(whole), false},
 		"not back":                     {back(refused), true},
+		"crashes that are stopped":     {crashed(touchTime+time.Second, crashesMore), false},
+		"crashes on and on":            {crashed(touchTime+time.Second, crashesMore+1), true},
+		"crashes soon after":           {crashed(time.Second, 5), false},
+		"crashes after a restart":      {crashed(touchTime+time.Second, 5, span{at(2 * time.Second), at(3 * time.Second)}), false},
+		"a pause, two more":            {turned(nil, 0, time.Second, time.Second), false},
+		"a pause, three more":          {turned(nil, 0, time.Second, time.Second, time.Second), true},
+		"a pause, at once":             {turned(nil, 0, 1, 2, 3, 4), false},
+		"a pause, after a freeze":      {turned(trouble, 0, time.Second, time.Second, time.Second), false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -91,6 +118,7 @@
 	is := is.New(t)
 	w := &world{entries: []*entry{{name: "e"}}, places: []*place{{service: "s", zone: "a"}}}
 	draw := func(seed uint64) (texts []string) {
+		w.more = newRandom(seed)
 		for _, f := range w.draw(newRandom(seed)) {
 			texts = append(texts, f.Kind+f.Target+f.At.String()+f.Until.String())
 		}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -47,6 +47,26 @@
 		f.Until = f.At + leastFault + time.Duration(random.Int64N(int64(mostFault-leastFault)))
 		series = append(series, f)
 	}
+	return append(series, w.drawMore()...)
+}
+
+// drawMore draws faults of the kinds that came later from a source of their own, so that
+// older seeds draw what they did.
+func (w *world) drawMore() (series []*Fault) {
+	at := func() (begin time.Duration) { return time.Duration(w.more.Int64N(int64(seriesTime))) }
+	service := w.places[w.more.IntN(len(w.places))].service
+	switch w.more.IntN(3) {
+	case 0:
+		series = []*Fault{{Kind: "crashing request", Target: service, At: at(), strike: func(over <-chan struct{}) { w.crash(service, over) }}}
+		series[0].Until = series[0].At + crashTime
+	case 1:
+		series = []*Fault{{Kind: "servers pausing", Target: service, At: at(), strike: func(over <-chan struct{}) {
+			w.suffer(service, mimic.Pausing)
+			<-over
+			w.suffer(service, mimic.Sound)
+		}}}
+		series[0].Until = series[0].At + mostFault
+	}
 	return series
 }
 
@@ -155,7 +175,11 @@
 func (w *world) hold(e *entry, strike func()) {
 	e.held.Lock()
 	defer e.held.Unlock()
+	begin := time.Now()
 	strike()
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.holds[e.caller] = append(w.holds[e.caller], span{begin, time.Now()})
 }
 
 // suffer gives all servers of a service a flaw, or none.
@@ -187,6 +211,8 @@
 	e := w.entries[random.IntN(len(w.entries))]
 	zone := zones[random.IntN(len(zones))]
 	index := random.IntN(len(w.places))
+	// A server that leaves tells the store, or its callers alone.
+	isTold := w.more.IntN(2) == 0
 	acts = []*Fault{
 		{Kind: "configuration", Target: "all", At: 3 * time.Second, strike: func(<-chan struct{}) { w.configure() }},
 		{Kind: "planned stop", Target: e.name, At: 5 * time.Second, Until: 5 * time.Second, strike: func(<-chan struct{}) {
@@ -208,7 +234,11 @@
 			p := w.places[index]
 			p.held.Lock()
 			defer p.held.Unlock()
-			p.server.Drain()
+			if isTold {
+				p.server.Drain()
+			} else {
+				p.server.Announce()
+			}
 			w.say(claim{server: p.server.ID, from: time.Now().Add(drainTime - time.Second)})
 			<-over
 			p.server.Crash()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -86,6 +86,8 @@
 	served  *http.Server
 	serving conc.WaitGroup
 	ledger  *mimic.Ledger
+	// more draws the kinds of faults that came later.
+	more    *rand.Rand
 	entries []*entry
 	places  []*place
 	// faults, stretch and calms belong to the goroutine that plays.
@@ -102,6 +104,10 @@
 	harms    []span
 	stops    map[*entry][]span
 	errs     []error
+	// holds tells when faults had the processes of entries, by the callers' address.
+	holds map[netip.AddrPort][]span
+	// crashes tells at which entry each call that crashes servers came.
+	crashes map[string]netip.AddrPort
 }
 
 // Run plays one run and reports on it. The error means that it could not be played.
@@ -111,10 +117,12 @@
 		options: options{seed: 1, entries: defaultEntries, callers: defaultCallers, rounds: defaultRounds},
 		began:   time.Now(), store: mimic.NewStore(), ledger: &mimic.Ledger{},
 		versions: make(map[string]time.Time), stops: make(map[*entry][]span),
+		holds: make(map[netip.AddrPort][]span), crashes: make(map[string]netip.AddrPort),
 	}
 	for _, option := range opts {
 		option(&w.options)
 	}
+	w.more = rand.New(rand.NewPCG(w.seed, 1))
 	if w.dir == "" {
 		if w.dir, err = os.MkdirTemp("", "soak"); err != nil {
 			return nil, err
