Count calls that another endpoint turned away as repeats

Callers saw nothing; the users' services got more than the budget allows. After a loss of power most addresses have new endpoints, and a call that such a one turns away with 421 has arrived there. Sending it elsewhere took nothing from the budget of repeats, so every entry could send each call four times.

Such a call now takes a repeat from the budget, and is refused with the time to return when none is left, which is true: it has not run. Calls that were never sent, because nothing accepted the connection, still cost nothing.

TestMisdirectedCallsKeepTheBudget fails on the code before.

--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -251,13 +251,20 @@
 func (f *flow) missed(kind balancer.Kind) (done bool) {
 	f.unreached++
 	f.finish(kind)
-	if f.ctx.Err() == nil && f.unreached < maxUnreached && f.hasTime() {
+	if f.ctx.Err() == nil && f.unreached < maxUnreached && f.hasTime() && f.mayGoOn(kind) {
 		return false
 	}
 	f.giveUp(&banyanplank.Refusal{Outcome: banyanplank.NotRun, Reason: banyanplank.ReasonUnreachable, RetryAfter: f.gateway.balancer.RetryAfter(f.service), Detail: f.result.detail})
 	return true
 }
 
+// mayGoOn reports whether a call that was missed may be sent elsewhere. One that another
+// endpoint has got and turned away counts against the budget of repeats, and one that none
+// got does not.
+func (f *flow) mayGoOn(kind balancer.Kind) bool {
+	return kind != balancer.Misdirected || f.gateway.balancer.Repeat(f.service)
+}
+
 // broken decides on a call that an endpoint may have run, and whose answer broke.
 func (f *flow) broken(err error) (done bool) {
 	f.ran = true
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/balancer"
 	"github.com/banyanplank/banyanplank/coordination/surveyor"
 )
 
@@ -60,6 +61,28 @@
 	}
 }
 
+// TestMisdirectedCallsKeepTheBudget is the pattern after a loss of power: most addresses
+// have new endpoints. Calls that these turn away arrived there, so sending them elsewhere
+// counts as a repeat.
+func TestMisdirectedCallsKeepTheBudget(t *testing.T) {
+	is := is.New(t)
+	const calls, share, slack = 40, 0.2, 5
+	var handlers []handler
+	for range 30 {
+		handlers = append(handlers, misdirected)
+	}
+	w := newWorld(t, banyanplank.RouteSpec{Kind: banyanplank.RouteOnce, Attempts: 1}, append(handlers, sealed("ok"))...)
+	b := balancer.New(balancer.WithRepeats(share, slack, time.Minute))
+	b.Renew(time.Now(), balancer.Fleet{Pools: w.view.Load().Router.Table().Pools, Backends: w.view.Load().Backends, Entries: 1})
+	w.gateway.balancer = b
+	for range calls {
+		a := w.do(w.request(t, http.MethodPost, ""))
+		is.NoErr(a.err)
+		is.True(a.status == http.StatusOK || a.status == http.StatusServiceUnavailable)
+	}
+	is.True(len(w.reached())-calls <= share*calls+slack)
+}
+
 // TestUnchanged has an endpoint get the call as it was, but for the key.
 func TestUnchanged(t *testing.T) {
 	is := is.New(t)
