Divide shared limits among all known entries, heard or not

Entries divided the slack of repeats and the rate of cold endpoints by the number that they hear. Entries cut off from each other each took all of it: 7 of them 7 times the slack and the cold rate, though both are stated for all entries together, in touch or not.

Limits are now divided among all that are known, until a silent one is forgotten after 30 s; how many endpoints to compare still follows those that live.

TestCutEntriesKeepLimits and TestSilentEntriesKeepTheirShare fail on the code before. A cut that lasts longer than 30 s still divides by those that are heard.

--- a/coordination/balancer/balancer.go
+++ b/coordination/balancer/balancer.go
@@ -96,8 +96,12 @@
 	Backends []banyanplank.Backend
 	// Out lists the availability zones that get no new work.
 	Out map[banyanplank.Zone]bool
-	// Entries is the number of entries that share the endpoints.
+	// Entries is the number of entries that send to the endpoints.
 	Entries int
+	// Sharers is the number of entries among which limits are divided. It counts
+	// those that can't be heard, which may be cut off and use their share all the
+	// same. Zero means Entries.
+	Sharers int
 	// Gaps tells, by service, the longest pause between two events that callers
 	// take as on time.
 	Gaps map[banyanplank.ServiceName]time.Duration
--- a/coordination/balancer/balancer_test.go
+++ b/coordination/balancer/balancer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -266,3 +267,33 @@
 		})
 	}
 }
+
+// TestCutEntriesKeepLimits has entries that hear nobody divide the slack of repeats and
+// the cold rate among all that are known.
+func TestCutEntriesKeepLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const entries, slack, rate = 7, 90, 14.0
+		spec := plain()
+		spec.ColdRate = rate
+		backends := endpoints("desk", 1, 100, "a")
+		backends[0].Cold = 10 * time.Second
+		repeats, cold := 0, 0
+		for i := range entries {
+			b := New(WithRandom(rand.New(rand.NewPCG(uint64(i), 1))), WithRepeats(0, slack, 10*time.Second))
+			b.Renew(time.Now(), Fleet{Pools: []banyanplank.PoolSpec{spec}, Backends: backends, Entries: 1, Sharers: entries})
+			for b.Repeat("desk") {
+				repeats++
+			}
+			for range 100 {
+				time.Sleep(10 * time.Millisecond)
+				if lease, _, err := b.pools["desk"].admit(time.Now(), Query{Service: "desk"}); err == nil && lease != nil {
+					cold++
+					lease.Finish(Result{Kind: Served})
+				}
+			}
+		}
+		is.True(repeats <= slack)
+		is.True(float64(cold) <= 1.5*rate+5) // each played the same second
+	})
+}
--- a/coordination/balancer/pool.go
+++ b/coordination/balancer/pool.go
@@ -108,7 +108,8 @@
 	p.spec = spec
 	entries := max(1, fleet.Entries)
 	p.entries = entries
-	p.budget.slack = float64(p.owner.slack) / float64(entries)
+	sharers := float64(max(entries, fleet.Sharers))
+	p.budget.slack = float64(p.owner.slack) / sharers
 	listed, present := make(map[banyanplank.BackendID]bool), make(map[banyanplank.GroupName]bool)
 	for _, backend := range fleet.Backends {
 		if backend.Service != spec.Name {
@@ -130,7 +131,7 @@
 			}
 		}
 		s.join(g)
-		s.renew(now, backend, fleet.Out[backend.Zone], spec.ColdRate/float64(entries))
+		s.renew(now, backend, fleet.Out[backend.Zone], spec.ColdRate/sharers)
 	}
 	for id := range p.seats {
 		if !listed[id] {
--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -73,7 +73,9 @@
 	Entries []banyanplank.Member
 	Peers   []banyanplank.Member
 	// Alive counts the entries that live, this one included.
-	Alive     int
+	Alive int
+	// Known counts the entries that may be at work, heard or not, this one included.
+	Known     int
 	Revisions map[banyanplank.Topic]banyanplank.Version
 	// Blind tells that the platform's topics can't be followed.
 	Blind bool
@@ -274,6 +276,7 @@
 		Out:       make(map[banyanplank.Zone]bool, len(m.out)),
 		Revisions: make(map[banyanplank.Topic]banyanplank.Version, len(m.topics)),
 		Alive:     1,
+		Known:     len(m.members) + 1,
 	}
 	for zone := range m.out {
 		s.Out[zone] = true
--- a/coordination/surveyor/surveyor_test.go
+++ b/coordination/surveyor/surveyor_test.go
@@ -381,3 +381,18 @@
 	s = p.play(beat("e2", "a", false, false)) // late, of the run before
 	is.Equal(s.Peers[0].Peer, again.Beat.Peer)
 }
+
+// TestSilentEntriesKeepTheirShare has entries that are not heard any more count among
+// those that share limits, until they are forgotten: a cut leaves both sides at work.
+func TestSilentEntriesKeepTheirShare(t *testing.T) {
+	is := is.New(t)
+	p := newPlayer("e1")
+	for _, id := range []string{"e2", "e3"} {
+		p.play(beat(id, "b", true, false))
+	}
+	s := p.after(farAge + time.Second)
+	is.Equal(s.Alive, 1)
+	is.Equal(s.Known, 3)
+	p.after(forgetAge)
+	is.Equal(p.play(beat("e4", "a", true, false)).Known, 2)
+}
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -94,7 +94,7 @@
 	if old == snapshot {
 		return
 	}
-	fleet := balancer.Fleet{Backends: snapshot.Backends, Out: snapshot.Out, Entries: snapshot.Alive}
+	fleet := balancer.Fleet{Backends: snapshot.Backends, Out: snapshot.Out, Entries: snapshot.Alive, Sharers: snapshot.Known}
 	if snapshot.Router != nil {
 		table := snapshot.Router.Table()
 		fleet.Pools, fleet.Gaps = table.Pools, make(map[banyanplank.ServiceName]time.Duration)
