Hold a pass as far ahead as lossy orders need

Cause, shown by TestLossyOrdersOfLargeGroup (72 ranks, orders that get no answer): the held pass was three tries of an arm order ahead, whatever part of the orders was lost, and a try takes longer than was reckoned, by the look at the ranks after it; and each lost release cost 350 ms.

Change: the held pass is ahead by the tries that all ranks likely need at the rate at which this round's orders went unanswered, with the whole time of a try, and by those of the release; hold and release wait for an answer no longer than an arm order of one rank and are given again at once.

--- a/coordination/stepper/group.go
+++ b/coordination/stepper/group.go
@@ -21,10 +21,11 @@
 	pass time.Duration
 	// adopted is how long all ranks took to be armed for the latest map, or zero.
 	adopted time.Duration
-	// lossy tells that some order has got no answer, and lost which part of the
-	// latest orders has not.
-	lossy bool
-	lost  float64
+	// lost is the part of the latest orders that got no answer. Given counts the
+	// orders of this round, and unanswered those of them without an answer.
+	lost       float64
+	given      int
+	unanswered int
 }
 
 // refresh reads the reports of all ranks. The error is errMoved when they don't
@@ -165,7 +166,7 @@
 	if len(to) > 0 {
 		g.lost = float64(lost) / float64(len(to))
 	}
-	g.lossy = g.lossy || lost > 0
+	g.given, g.unanswered = g.given+len(to), g.unanswered+lost
 	return left
 }
 
--- /dev/null
+++ b/coordination/stepper/lossy_test.go
@@ -0,0 +1,41 @@
+package stepper
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// TestLossyOrdersOfLargeGroup is the pattern of a large group whose orders often get no
+// answer, while the demand moves. All ranks are armed before the held pass is due, so that
+// streams don't wait for it: half of the time that callers stay away for is the bound.
+func TestLossyOrdersOfLargeGroup(t *testing.T) {
+	for name, lost := range map[string]float64{"one in ten": 0.1, "three in ten": 0.3, "half": 0.5} {
+		t.Run(name, func(t *testing.T) {
+			var pauses []time.Duration
+			passes, changes := 0, 0
+			for seed := range uint64(moments(8)) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(72, 2, 144, 3, seed)
+					w.lost = lost
+					play(t, w, []*Stepper{New(w, w.fleet(always))}, 20*time.Second, func(ctx context.Context) {
+						for banyanplank.Pause(ctx, 3*time.Second) == nil {
+							w.shift()
+						}
+					})
+					pauses = append(pauses, w.longest)
+					passes, changes = passes+w.passes, changes+w.changes/len(w.ranks)
+				})
+			}
+			t.Log(passes, changes, pauses)
+			for _, pause := range pauses {
+				is.New(t).True(pause <= time.Second)
+			}
+		})
+	}
+}
--- a/coordination/stepper/switch.go
+++ b/coordination/stepper/switch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,9 +27,14 @@
 	// armLead is how far ahead the held pass is, until it is known how long the
 	// orders to all ranks take.
 	armLead = 120 * time.Millisecond
-	// lossyTries is how many times an order can be given before the held pass while
-	// some get no answer.
-	lossyTries = 3
+	// leastTries and mostTries bound how many times an order can be given before the
+	// held pass while some get no answer, and lateRanks is the part of a rank that may
+	// be left then, in the mean.
+	leastTries = 3
+	mostTries  = 12
+	lateRanks  = 0.05
+	// reportTime is how long all ranks take to report, between two tries.
+	reportTime = 25 * time.Millisecond
 	// orderPatience and rankPatience are how long an order waits for its answer, and
 	// how much longer for each rank of the group, to which orders go side by side.
 	// An endpoint answers within some milliseconds.
@@ -40,8 +46,9 @@
 	// releaseLimit bounds the time for which a pass that must be released is
 	// ordered again.
 	releaseLimit = 10 * time.Second
-	// retryPause is the time between two orders to release a pass.
-	retryPause = 100 * time.Millisecond
+	// retryPause is the time between two orders to release a pass. Another copy of one
+	// that is carried out late finds that the pass has begun.
+	retryPause = 10 * time.Millisecond
 	// lookPause is the time between two looks at the ranks that have not done what
 	// they were ordered. To load an expert takes them tens of milliseconds.
 	lookPause = 25 * time.Millisecond
@@ -104,11 +111,14 @@
 		}
 		// A pass that has begun meanwhile can't be held.
 		step = g.step() + passesIn(g.lead(), g.pass) + uint64(try)
-		err = g.ranks.Order(ctx, g.backends[0], banyanplank.RankOrder{Kind: banyanplank.RankHold, Epoch: g.epoch, Step: step})
+		err = g.once(ctx, g.backends[0], banyanplank.RankOrder{Kind: banyanplank.RankHold, Epoch: g.epoch, Step: step})
 		if err == nil {
 			return step, nil
 		}
-		g.lossy = g.lossy || errors.Is(err, banyanplank.ErrUncertain)
+		if errors.Is(err, banyanplank.ErrUncertain) {
+			g.unanswered++
+		}
+		g.given++
 	}
 	return 0, err
 }
@@ -116,8 +126,9 @@
 // lead returns how long before the held pass all ranks are to be armed.
 func (g *group) lead() (lead time.Duration) {
 	switch {
-	case g.lossy:
-		return lossyTries * g.patience()
+	case g.unanswered > 0:
+		return time.Duration(g.tries(len(g.backends)))*(g.patience()+lookPause+reportTime) +
+			time.Duration(g.tries(1))*(orderPatience+retryPause)
 	case g.adopted > 0:
 		return g.adopted
 	default:
@@ -125,6 +136,17 @@
 	}
 }
 
+// tries returns how many times an order has to be given until likely so many ranks have
+// all answered, at the rate at which orders of this round got no answer.
+func (g *group) tries(ranks int) (count int) {
+	lost := float64(g.unanswered) / float64(g.given)
+	if lost >= 1 {
+		return mostTries
+	}
+	needed := math.Log(lateRanks/float64(ranks)) / math.Log(lost)
+	return min(max(leastTries, int(math.Ceil(needed))), mostTries)
+}
+
 // passesIn returns how many passes ahead a pass is that begins after lead.
 func passesIn(lead, pass time.Duration) (passes uint64) {
 	if pass <= 0 {
@@ -147,7 +169,7 @@
 	ctx, cancel := context.WithTimeout(ctx, releaseLimit)
 	defer cancel()
 	for {
-		if err = g.ranks.Order(ctx, holder, order); err == nil || errors.Is(err, banyanplank.ErrConflict) {
+		if err = g.once(ctx, holder, order); err == nil || errors.Is(err, banyanplank.ErrConflict) {
 			return nil
 		}
 		if paused := banyanplank.Pause(ctx, retryPause); paused != nil {
@@ -156,6 +178,13 @@
 	}
 }
 
+// once gives one order to one rank, and waits for the answer no longer than that takes.
+func (g *group) once(ctx context.Context, to *banyanplank.Backend, order banyanplank.RankOrder) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, orderPatience)
+	defer cancel()
+	return g.ranks.Order(ctx, to, order)
+}
+
 // settle finishes a switch that was left between its orders.
 func (g *group) settle(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrap(err, "settle") }()
--- a/coordination/stepper/world_test.go
+++ b/coordination/stepper/world_test.go
@@ -34,8 +34,9 @@
 	mixed   int
 	passes  int
 	changes int
-	// began is when the last pass began.
-	began time.Time
+	// began is when the last pass began, and longest the longest time between two.
+	began   time.Time
+	longest time.Duration
 	// weight is the demand by expert.
 	weight []float64
 }
@@ -116,6 +117,9 @@
 			return
 		}
 	}
+	if !w.began.IsZero() {
+		w.longest = max(w.longest, time.Since(w.began))
+	}
 	w.step, w.began = next, time.Now()
 	w.passes++
 	for _, r := range w.ranks {
