--- a/coordination/beater/beater.go
+++ b/coordination/beater/beater.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/panics"
 	"github.com/sourcegraph/conc/pool"
 )
 
@@ -108,11 +109,23 @@
 			b.fail(err)
 			continue
 		}
-		beat, err := decode(buffer[:n])
-		if err != nil {
+		if err := b.take(buffer[:n]); err != nil {
 			b.fail(err)
-			continue
 		}
-		b.hear(beat)
 	}
 }
+
+// take hands on a heartbeat. One that can't be read, or that is not expected, is an
+// error and ends nothing.
+func (b *Beater) take(text []byte) (err error) {
+	caught := panics.Try(func() {
+		var beat *Beat
+		if beat, err = decode(text); err == nil {
+			b.hear(beat)
+		}
+	})
+	if caught != nil {
+		return errors.Wrap(caught.AsError(), "take heartbeat")
+	}
+	return err
+}
--- a/coordination/beater/beater_test.go
+++ b/coordination/beater/beater_test.go
@@ -176,3 +176,54 @@
 	t.Log(len(text))
 	is.True(len(text) <= 220)
 }
+
+// TestPanicOfAHearer has a heartbeat that the hearer doesn't expect be an error.
+func TestPanicOfAHearer(t *testing.T) {
+	is := is.New(t)
+	b := New(netip.AddrPort{}, nil, func(*Beat) { panic("no such peer") }, nil)
+	text, err := encode(&Beat{From: "a", Peer: netip.MustParseAddrPort("10.1.0.40:8227")})
+	is.NoErr(err)
+	is.True(b.take(text) != nil)
+	is.True(b.take(text[:3]) != nil)
+}
+
+// FuzzDecode has any datagram be read or refused, and what is read be what an entry can
+// work with.
+func FuzzDecode(f *testing.F) {
+	for _, beat := range []*Beat{
+		{From: "a", Peer: netip.MustParseAddrPort("10.1.0.40:8227")},
+		{
+			From: "b", Peer: netip.MustParseAddrPort("[fd00::1]:1"), Zone: "z", Ready: true,
+			InFlight: map[banyanplank.BackendID]int{"x": 3}, Slow: []banyanplank.BackendID{"x"},
+			Revisions: map[banyanplank.Topic]banyanplank.Version{"backends": 1 << 63},
+			Findings: []banyanplank.Finding{{Death: 1, Requests: []banyanplank.Fingerprint{1, 2}, Ran: []time.Duration{time.Second, 0}, Age: time.Hour},
+				{Kind: banyanplank.FindingConvicted, Requests: []banyanplank.Fingerprint{3}, Left: time.Hour}},
+			Leavers: []banyanplank.Leaver{{ID: "x", Born: time.UnixMilli(1)}},
+		},
+	} {
+		text, err := encode(beat)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		beat, err := decode(text)
+		if err != nil {
+			return
+		}
+		w, now := suspecter.NewWitness(), time.Unix(1e9, 0)
+		w.Learn(now, beat.Findings)
+		w.Learn(now, w.Tell(now))
+		for _, calls := range beat.InFlight {
+			if calls < 0 {
+				t.Errorf("%d calls in flight", calls)
+			}
+		}
+		if again, err := encode(beat); err == nil {
+			if _, err := decode(again); err != nil {
+				t.Errorf("what was read can't be read again: %v", err)
+			}
+		}
+	})
+}
--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -4,6 +4,7 @@
 package surveyor
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -179,6 +180,9 @@
 		m.note(NoteCmd{Event: "register", Topic: banyanplank.TopicMembers, Key: string(m.self.ID), Err: msg.Err})
 	case DrainMsg:
 		m.draining = true
+	case banyanplank.PanicMsg:
+		changed = false
+		m.note(NoteCmd{Event: "command panicked", Key: fmt.Sprintf("%T", msg.Command), Err: msg.Err})
 	case banyanplank.TickMsg:
 		changed = m.tick(now)
 	}
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -74,7 +75,8 @@
 	d.gateway.gauge()
 	d.stepper = stepper.New(ranks, d.fleet, stepper.WithNotes(d.noteStep), stepper.WithSlow(d.noteSlow),
 		stepper.WithZone(settings.Zone), stepper.WithStanding(d.balancer.Stands))
-	d.loop = banyanplank.NewLoop(model, executor{d}, banyanplank.WithTick(surveyor.TickInterval), banyanplank.WithAfter(d.publish))
+	d.loop = banyanplank.NewLoop(model, executor{d}, banyanplank.WithTick(surveyor.TickInterval), banyanplank.WithAfter(d.publish),
+		banyanplank.WithPanics(d.notePanic))
 	d.relay = newRelay(d.view.Load)
 	d.follower = follower.New(discovery,
 		func(msg banyanplank.Msg) { d.loop.Send(context.Background(), msg) },
@@ -142,6 +144,12 @@
 		Uint64("revision", uint64(n.Revision)).Dur("age", n.Age).Msg(n.Event)
 }
 
+// notePanic logs and counts a message at which the control state panicked.
+func (d *Daemon) notePanic(msg banyanplank.Msg, err error) {
+	d.gateway.counters.set.GetOrCreateCounter("banyanplank_panics_total").Inc()
+	d.logger.Error().Err(err).Str("type", fmt.Sprintf("%T", msg)).Msg("panic")
+}
+
 // fleet returns what the stepper needs to know.
 func (d *Daemon) fleet() (table *banyanplank.RoutingTable, backends []banyanplank.Backend, duty stepper.Duty) {
 	snapshot := d.view.Load()
--- a/loop.go
+++ b/loop.go
@@ -42,6 +42,7 @@
 	inbox    chan Msg
 	tick     time.Duration
 	after    func(Model)
+	panicked func(msg Msg, err error)
 }
 
 // inboxSize bounds the messages that wait for the control goroutine.
@@ -62,6 +63,13 @@
 	return func(l *Loop) { l.after = after }
 }
 
+// WithPanics goes on with the next message when an update panics, and hands the message
+// and the panic to panicked. Use it where one unexpected message must not end the process.
+// The default lets the panic go on.
+func WithPanics(panicked func(msg Msg, err error)) LoopOption {
+	return func(l *Loop) { l.panicked = panicked }
+}
+
 // NewLoop returns a loop that has not started.
 func NewLoop(model Model, executor Executor, options ...LoopOption) *Loop {
 	l := &Loop{
@@ -106,7 +114,11 @@
 		case <-ticks:
 			msg = TickMsg{}
 		}
-		l.step(ctx, effects, msg)
+		if l.panicked == nil {
+			l.step(ctx, effects, msg)
+		} else if caught := panics.Try(func() { l.step(ctx, effects, msg) }); caught != nil {
+			l.panicked(msg, caught.AsError())
+		}
 	}
 }
 
--- a/loop_test.go
+++ b/loop_test.go
@@ -60,3 +60,35 @@
 		group.Wait()
 	})
 }
+
+// picky panics at messages that are no ticks.
+type picky struct{ ticks chan<- int }
+
+func (p picky) Update(_ time.Time, msg banyanplank.Msg) (model banyanplank.Model, commands []banyanplank.Command) {
+	if _, ok := msg.(banyanplank.TickMsg); !ok {
+		panic("no such message")
+	}
+	p.ticks <- 1
+	return p, nil
+}
+
+// TestLoopGoesOnAfterPanic has an update panic. The loop tells of it and goes on.
+func TestLoopGoesOnAfterPanic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ticks, told := make(chan int), make(chan banyanplank.Msg, 1)
+		loop := banyanplank.NewLoop(picky{ticks}, panicking{}, banyanplank.WithTick(time.Second),
+			banyanplank.WithPanics(func(msg banyanplank.Msg, err error) {
+				is.True(err != nil)
+				told <- msg
+			}))
+		ctx, cancel := context.WithCancel(t.Context())
+		var group conc.WaitGroup
+		group.Go(func() { is.NoErr(loop.Run(ctx)) })
+		is.True(loop.Send(ctx, "malformed"))
+		is.Equal(<-told, "malformed")
+		<-ticks
+		cancel()
+		group.Wait()
+	})
+}
--- a/state/follower/follower.go
+++ b/state/follower/follower.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/panics"
 
 	"github.com/banyanplank/banyanplank"
 )
@@ -176,7 +177,12 @@
 // follow makes calls until ctx ends.
 func (c *cursor) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := c.advance(ctx); err != nil {
+		var err error
+		// Something unexpected in an answer ends this call alone.
+		if caught := panics.Try(func() { err = c.advance(ctx) }); caught != nil {
+			err = errors.Wrap(caught.AsError(), "follow topic")
+		}
+		if err != nil {
 			c.fail(ctx, err)
 		}
 	}
--- a/state/follower/follower_test.go
+++ b/state/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -41,11 +42,19 @@
 	s.changed = make(chan struct{})
 }
 
+// errPanic makes a call panic.
+var errPanic = errors.New("unexpected")
+
 // fail returns the next error.
 func (s *store) fail() (err error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.calls++
+	defer func() {
+		if errors.Is(err, errPanic) {
+			panic(err)
+		}
+	}()
 	if len(s.errors) > 0 {
 		err, s.errors = s.errors[0], s.errors[1:]
 	}
@@ -294,3 +303,26 @@
 		is.Equal(l.keys(), []string{"told", "z"})
 	})
 }
+
+// TestPanicOfACall has a call of the store panic. The topic is lost, and followed on.
+func TestPanicOfACall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStore()
+		s.errors = []error{errPanic, nil, errPanic}
+		var lost, told atomic.Int32
+		f := New(s, func(msg banyanplank.Msg) {
+			switch msg.(type) {
+			case LostMsg:
+				lost.Add(1)
+			case TopicMsg:
+				told.Add(1)
+			}
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		f.Follow(ctx, banyanplank.TopicBackends)
+		is.Equal(lost.Load(), int32(2))
+		is.True(told.Load() >= 2)
+	})
+}
