--- a/cmd/banyanplank/main.go
+++ b/cmd/banyanplank/main.go
@@ -83,7 +83,7 @@
 	}
 	commands := []command{
 		checkHelp(s), diffHelp(s), applyHelp(s), getHelp(s),
-		statusHelp(s), entriesHelp(s), burnHelp(s), versionHelp(s),
+		statusHelp(s), entriesHelp(s), burnHelp(s), whyHelp(s), versionHelp(s),
 	}
 	for _, c := range commands {
 		_, err = p.AddCommand(c.name, c.short, c.long, c.data)
--- /dev/null
+++ b/state/explainer/line.go
@@ -0,0 +1,94 @@
+package explainer
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Line is one line of a log.
+type Line struct {
+	At     time.Time         `json:"at"`
+	Daemon string            `json:"daemon"`
+	Event  string            `json:"event"`
+	Fields map[string]string `json:"fields"`
+}
+
+// timeField begins a line of a daemon.
+const timeField = "time="
+
+// Parse reads one line. It reports false for one that no daemon wrote. Words before the
+// line, such as a time of a test bench and the daemon's name, are left out; the last of
+// them names the daemon if it has no other name.
+func Parse(daemon, text string) (line Line, ok bool) {
+	start := strings.Index(text, timeField)
+	if start < 0 {
+		return line, false
+	}
+	if before := strings.Fields(text[:start]); len(before) > 0 {
+		daemon = before[len(before)-1]
+	}
+	line = Line{Daemon: daemon, Fields: make(map[string]string)}
+	rest := text[start:]
+	for rest != "" {
+		var key, value string
+		if key, value, rest, ok = cutPair(rest); !ok {
+			return line, false
+		}
+		line.Fields[key] = value
+	}
+	at, err := time.Parse(time.RFC3339Nano, line.Fields["time"])
+	if err != nil || line.Fields["event"] == "" {
+		return line, false
+	}
+	line.At, line.Event = at, line.Fields["event"]
+	delete(line.Fields, "time")
+	delete(line.Fields, "event")
+	return line, true
+}
+
+// cutPair cuts the first pair off a line.
+func cutPair(text string) (key, value, rest string, ok bool) {
+	key, rest, ok = strings.Cut(strings.TrimLeft(text, " "), "=")
+	if !ok || key == "" || strings.ContainsAny(key, " \"") {
+		return "", "", "", false
+	}
+	if !strings.HasPrefix(rest, `"`) {
+		value, rest, _ = strings.Cut(rest, " ")
+		return key, strings.TrimRight(value, "\r\n"), strings.TrimLeft(rest, " \r\n"), true
+	}
+	quoted, err := strconv.QuotedPrefix(rest)
+	if err != nil {
+		return "", "", "", false
+	}
+	if value, err = strconv.Unquote(quoted); err != nil {
+		return "", "", "", false
+	}
+	return key, value, strings.TrimLeft(rest[len(quoted):], " \r\n"), true
+}
+
+// number reads a field that holds a number, or 0.
+func (l *Line) number(field string) (n float64) {
+	n, err := strconv.ParseFloat(l.Fields[field], 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// millis reads a field that holds milliseconds.
+func (l *Line) millis(field string) (d time.Duration) {
+	return time.Duration(l.number(field) * float64(time.Millisecond))
+}
+
+// list reads a field that holds a list of names.
+func (l *Line) list(field string) (names []string) {
+	text := strings.Trim(l.Fields[field], "[]")
+	if text == "" {
+		return nil
+	}
+	for name := range strings.SplitSeq(text, ",") {
+		names = append(names, strings.Trim(name, `" `))
+	}
+	return names
+}
