Ask the platform's store less at starts, in outages and after compaction

Change: an entry that watches waits 0.1 s after changes before it watches on, as they come in series. One that doesn't watch, and finds the history gone, asks a peer before it lists the topic, and no longer asks for changes first. While the store is away one topic of an entry looks whether it is back; the others go on as soon as it is, or look for themselves after 1 to 2 s.

--- a/state/follower/follower.go
+++ b/state/follower/follower.go
@@ -37,6 +37,12 @@
 	idlePause = 2 * time.Second
 	// settle is how long to wait after a hint, since changes come in series.
 	settle = 60 * time.Millisecond
+	// gather is how long a daemon that watches waits after changes, which mostly come
+	// in series, before it watches on.
+	gather = 100 * time.Millisecond
+	// waitForProbe bounds how long a topic that is lost waits for another one that
+	// finds out whether the platform is back.
+	waitForProbe = 2 * time.Second
 	// recheck is how often a daemon looks whether it has to watch.
 	recheck = 200 * time.Millisecond
 )
@@ -105,6 +111,10 @@
 	peers     Peers
 	mutex     sync.Mutex
 	hints     map[banyanplank.Topic]*hint
+	// prober is the topic that finds out whether the platform is back, if it is away,
+	// and back is closed when it is.
+	prober *cursor
+	back   chan struct{}
 }
 
 // hint is the revision up to which peers know changes of a topic.
@@ -197,8 +207,10 @@
 	watches  func() bool
 	revision banyanplank.Version
 	asked    time.Time
-	listed   bool
-	lost     bool
+	// series tells that the last watch brought changes.
+	series bool
+	listed bool
+	lost   bool
 }
 
 // advance makes one call and passes on what it brought.
@@ -211,6 +223,12 @@
 			return err
 		}
 	}
+	if c.series {
+		c.series = false
+		if err := banyanplank.Pause(ctx, gather); err != nil {
+			return err
+		}
+	}
 	c.asked = time.Now()
 	msg := TopicMsg{Topic: c.topic, Whole: !c.listed, Resumed: c.lost, Sent: time.Now()}
 	switch {
@@ -224,7 +242,9 @@
 	if err != nil {
 		return err
 	}
+	c.series = wait > 0 && len(msg.Entries) > 0
 	c.revision, c.listed, c.lost = msg.Revision, true, false
+	c.regain()
 	c.send(msg)
 	return nil
 }
@@ -235,6 +255,9 @@
 	if err == nil && revision >= max(c.revision, c.hinted(c.hint)) {
 		return entries, revision, nil
 	}
+	if errors.Is(err, banyanplank.ErrCompacted) {
+		return nil, 0, err
+	}
 	return c.discovery.Changes(ctx, c.topic, c.revision, 0)
 }
 
@@ -254,10 +277,11 @@
 	}
 }
 
-// fail notes an error and pauses. Lost history needs a new list, but no pause.
+// fail notes an error and pauses. Lost history needs a new list, unless a peer has gone
+// on beyond it, but no pause.
 func (c *cursor) fail(ctx context.Context, err error) {
 	if errors.Is(err, banyanplank.ErrCompacted) {
-		c.listed = false
+		c.listed = !c.watches() && c.catchUp(ctx)
 		return
 	}
 	if ctx.Err() != nil {
@@ -271,23 +295,73 @@
 	longest := c.pause
 	if c.listed && !c.watches() {
 		longest = idlePause
+	} else if back := c.lose(c); back != nil {
+		c.await(ctx, back)
+		return
 	}
 	// The loop of the topic looks at ctx.
 	_ = banyanplank.Pause(ctx, longest/2+rand.N(longest/2))
 }
 
+// lose notes that a topic is lost. It returns nil if that topic is the one to find out
+// when the platform is back, and what is closed then if another one does.
+func (f *Follower) lose(c *cursor) (back <-chan struct{}) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.prober == nil {
+		f.prober, f.back = c, make(chan struct{})
+	}
+	if f.prober == c {
+		return nil
+	}
+	return f.back
+}
+
+// regain notes that a topic can be followed. The others that are lost try at once.
+func (f *Follower) regain() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.prober != nil {
+		close(f.back)
+		f.prober, f.back = nil, nil
+	}
+}
+
+// await waits until another topic finds the platform back, or for so long that this one
+// had better look for itself.
+func (c *cursor) await(ctx context.Context, back <-chan struct{}) {
+	timer := time.NewTimer(waitForProbe/2 + rand.N(waitForProbe/2))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-back:
+	case <-timer.C:
+	}
+}
+
 // askPeers takes over what peers know beyond this daemon.
 func (c *cursor) askPeers(ctx context.Context) {
-	if c.peers == nil || c.hinted(c.hint) <= c.revision {
+	if c.hinted(c.hint) <= c.revision {
 		return
 	}
+	c.catchUp(ctx)
+}
+
+// catchUp takes over what a peer knows beyond this daemon, and reports whether it now
+// knows all that it has been told of.
+func (c *cursor) catchUp(ctx context.Context) (caughtUp bool) {
+	if c.peers == nil {
+		return false
+	}
 	asked := time.Now()
 	entries, revision, err := c.peers.Ask(ctx, c.topic)
 	switch {
 	case err != nil:
 		c.send(LostMsg{Topic: c.topic, Err: err})
+		return false
 	case revision > c.revision:
 		c.revision, c.listed = revision, true
 		c.send(TopicMsg{Topic: c.topic, Entries: entries, Revision: revision, Whole: true, Relayed: true, Sent: asked})
 	}
+	return c.hinted(c.hint) <= c.revision
 }
