Suspect no request that ended well just before

Cause: only runs to the end after a death counted in its favour. A request that crashes what runs it never ends well, so one that did shortly before did not crash the endpoint either.

Change: each entry remembers for ten seconds which requests ran to their end, accuses none of them, and clears them when another entry accuses them. After that time they count again: a new version may crash at what an old one answered.

TestPopularRequestWhileAllEndpointsEnd fails on the code before, seen by the entry that accuses and by another one.

--- a/coordination/suspecter/suspects.go
+++ b/coordination/suspecter/suspects.go
@@ -16,6 +16,10 @@
 	mostSuspects = 256
 	// mostAccounts bounds the accounts with suspects.
 	mostAccounts = 1024
+	// soundTime is how long after a request ran to its end a death doesn't count
+	// against it. All requests of a kind that is made often may run at each of the
+	// endpoints that another one crashes, with no chance to end well meanwhile.
+	soundTime = 10 * time.Second
 	// mostRunning bounds the requests remembered of one death. The crash most
 	// likely comes from one that started late.
 	mostRunning = 128
@@ -152,7 +156,7 @@
 
 // accuse adds a death to a request.
 func (s *Suspects) accuse(now time.Time, request banyanplank.Fingerprint, r run) (news bool) {
-	if ended, known := s.ended[request]; known && !r.at.After(ended) {
+	if ended, known := s.ended[request]; known && isSound(ended, r.at) {
 		return false
 	}
 	found := s.suspect(now, request)
@@ -236,13 +240,20 @@
 	return len(found.runs) < before
 }
 
+// isSound reports whether a request that ran to its end at a time can't have been what
+// ended an endpoint at another.
+func isSound(ended, died time.Time) bool { return !died.After(ended.Add(soundTime)) }
+
 // clear forgets a request that ended well at a time. One that is found guilty stays.
 func (s *Suspects) clear(at time.Time, request banyanplank.Fingerprint) (news bool) {
 	found := s.accounts[request.Account()][request]
-	if found == nil || found.isGuilty() {
+	if found != nil && found.isGuilty() {
 		return false
 	}
 	s.ranTo(at, request)
+	if found == nil {
+		return false
+	}
 	s.forget(request, found)
 	return true
 }
--- a/coordination/suspecter/witness.go
+++ b/coordination/suspecter/witness.go
@@ -21,6 +21,8 @@
 	// tellTime is how long a finding is repeated to the other entries. It outlasts
 	// several lost heartbeats to another zone.
 	tellTime = 5 * time.Second
+	// mostEnded bounds the requests that are remembered to have ended well lately.
+	mostEnded = 8192
 	// mostTold bounds the requests in what is told at a time, to fit in a heartbeat.
 	mostTold = 256
 )
@@ -95,9 +97,7 @@
 	suspects *Suspects
 	// any tells that some request is suspect, so that calls need not wait for
 	// each other while none is.
-	any atomic.Bool
-	// waits tells that some run waits for word on its endpoint.
-	waits   atomic.Bool
+	any     atomic.Bool
 	pending map[incarnation][]broken
 	waiting int
 	probing map[incarnation]bool
@@ -107,6 +107,10 @@
 	leaving map[incarnation]time.Time
 	told    []told
 	guilty  []banyanplank.Fingerprint
+	// recent tells when requests last ran to their end, in the current span of
+	// soundTime, which began at since, and in the one before.
+	recent [2]map[banyanplank.Fingerprint]time.Time
+	since  time.Time
 }
 
 // NewWitness returns a witness that knows nothing.
@@ -118,6 +122,7 @@
 		probing:  make(map[incarnation]bool),
 		dead:     make(map[incarnation]time.Time),
 		leaving:  make(map[incarnation]time.Time),
+		recent:   [2]map[banyanplank.Fingerprint]time.Time{{}, {}},
 	}
 	for _, option := range options {
 		option(w)
@@ -233,11 +238,12 @@
 // does, so what broke of the same request was not its fault; and its endpoint was alive
 // after it began, so what had broken there before was not the endpoint's end.
 func (w *Witness) Completed(now time.Time, r Run) {
-	if !w.any.Load() && !w.waits.Load() {
-		return
-	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	w.remember(now, r.Request)
+	if !w.any.Load() && w.waiting == 0 {
+		return
+	}
 	place := incarnationOf(r.Endpoint, r.Born)
 	for key, runs := range w.pending {
 		before := len(runs)
@@ -248,6 +254,25 @@
 	w.exonerate(now, r)
 }
 
+// remember notes that a request ran to its end.
+func (w *Witness) remember(now time.Time, request banyanplank.Fingerprint) {
+	if now.Sub(w.since) > soundTime {
+		w.recent[1] = w.recent[0]
+		w.recent[0], w.since = make(map[banyanplank.Fingerprint]time.Time), now
+	}
+	if len(w.recent[0]) < mostEnded {
+		w.recent[0][request] = now
+	}
+}
+
+// endedWell returns when a request last ran to its end, if that was lately.
+func (w *Witness) endedWell(request banyanplank.Fingerprint) (at time.Time, known bool) {
+	if at, known = w.recent[0][request]; !known {
+		at, known = w.recent[1][request]
+	}
+	return at, known
+}
+
 // exonerate tells the other entries that a suspect ran to its end. One that is convicted
 // has to have begun after the last death that is laid to it.
 func (w *Witness) exonerate(now time.Time, r Run) {
@@ -277,6 +302,7 @@
 	for _, finding := range findings {
 		if w.suspects.Observe(now, finding) {
 			news, age = true, max(age, finding.Age)
+			w.contradict(now, finding)
 		}
 	}
 	if news {
@@ -284,6 +310,23 @@
 	}
 }
 
+// contradict clears what another entry accuses and ended well here just before.
+func (w *Witness) contradict(now time.Time, finding banyanplank.Finding) {
+	if finding.Kind != banyanplank.FindingDeath {
+		return
+	}
+	for _, request := range finding.Requests {
+		ended, known := w.endedWell(request)
+		if !known || !isSound(ended, now.Add(-finding.Age)) {
+			continue
+		}
+		cleared := banyanplank.Finding{Kind: banyanplank.FindingCleared, Requests: []banyanplank.Fingerprint{request}, Age: now.Sub(ended)}
+		if w.suspects.Observe(now, cleared) {
+			w.tell(now, cleared)
+		}
+	}
+}
+
 // Tell returns what to tell the other entries: the own findings of late, and all
 // convictions, so that entries that start learn of them.
 func (w *Witness) Tell(now time.Time) (findings []banyanplank.Finding) {
@@ -351,10 +394,13 @@
 		Age:   now.Sub(died),
 	}
 	for _, b := range runs {
+		if ended, known := w.endedWell(b.Request); known && isSound(ended, died) {
+			continue
+		}
 		finding.Requests = append(finding.Requests, b.Request)
 		finding.Ran = append(finding.Ran, max(0, died.Sub(b.Began)))
 	}
-	if !w.suspects.Observe(now, finding) {
+	if len(finding.Requests) == 0 || !w.suspects.Observe(now, finding) {
 		return
 	}
 	w.note(Note{Event: EventDied, Endpoint: key.id, Requests: finding.Requests, How: how, Age: finding.Age})
@@ -386,7 +432,6 @@
 // keep replaces the runs that wait for word on an incarnation.
 func (w *Witness) keep(key incarnation, runs []broken, before int) {
 	w.waiting += len(runs) - before
-	w.waits.Store(w.waiting > 0)
 	if len(runs) == 0 {
 		delete(w.pending, key)
 		return
--- a/coordination/suspecter/witness_test.go
+++ b/coordination/suspecter/witness_test.go
@@ -186,6 +186,53 @@
 	}
 }
 
+// TestPopularRequestWhileAllEndpointsEnd has a crashing request end all endpoints of a
+// service one after the other, under a sound call that many callers make. That one ended
+// well until then, at one entry, and can't end at all meanwhile (soak, seeds 21 and 23).
+func TestPopularRequestWhileAllEndpointsEnd(t *testing.T) {
+	const s = time.Second
+	bad, popular := printOf("a", "bad"), printOf("a", "popular")
+	for name, completes := range map[string]int{"seen by the one that accuses": 0, "seen by another entry": 1} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			all := []*Witness{NewWitness(), NewWitness()}
+			exchange := func(now time.Time) {
+				all[0].Learn(now, all[1].Tell(now))
+				all[1].Learn(now, all[0].Tell(now))
+			}
+			all[completes].Completed(epoch, runAt(popular, "sound", -s))
+			now := epoch
+			for i := range 6 {
+				began := now
+				now = now.Add(s / 3)
+				id := banyanplank.BackendID(fmt.Sprint(i))
+				for _, request := range []banyanplank.Fingerprint{popular, bad} {
+					all[0].Broke(now, Run{Request: request, Endpoint: id, Born: epoch, Began: began})
+				}
+				all[0].Died(now, id, epoch)
+				exchange(now)
+				exchange(now)
+			}
+			for _, w := range all {
+				guilty, _ := w.Judge(now, popular)
+				is.True(!guilty)
+				guilty, _ = w.Judge(now, bad)
+				is.True(guilty)
+			}
+			// It counts for a while only: what ended well may crash a new version.
+			now = now.Add(soundTime)
+			for i := range 4 {
+				began := now
+				now = now.Add(s / 3)
+				die(all[0], Run{Request: popular, Endpoint: banyanplank.BackendID(fmt.Sprint("new", i)), Born: epoch, Began: began}, now.Sub(epoch))
+				exchange(now)
+			}
+			guilty, _ := all[1].Judge(now, popular)
+			is.True(guilty)
+		})
+	}
+}
+
 // TestAcquitted has a convicted request that is then seen to run to its end be sent
 // again everywhere, whatever an entry that missed it still tells.
 func TestAcquitted(t *testing.T) {
