Contradict an entry that convicts what ended well elsewhere

An entry that had just started sent it to servers that a crashing request had ended; a proxy still accepted connections there, so each broke at once, in a row, and the entry knew of no run to the end.

Change: an entry at which the request ended well in the last ten seconds answers a conviction with an acquittal, as it did an accusation; and a run that began after its endpoint had died, as others tell, never reached it.

TestRestartedEntryAccuses fails on the code before, both cases.

--- a/coordination/suspecter/death.go
+++ b/coordination/suspecter/death.go
@@ -40,11 +40,16 @@
 }
 
 // row returns the longest row of runs each of which began after the death before it.
-// Deaths that came together, as when a zone loses power, count once.
+// Deaths that came together, as when a zone loses power, count once. A run that began
+// after its endpoint had died, as other daemons tell, never reached it: something else
+// may accept connections at its address.
 func (s *suspect) row() (row []run) {
 	ordered := slices.Clone(s.runs)
 	slices.SortStableFunc(ordered, func(a, b run) int { return a.at.Compare(b.at) })
 	for _, r := range ordered {
+		if r.began.After(r.at) {
+			continue
+		}
 		if len(row) == 0 || !r.began.Before(row[len(row)-1].at) {
 			row = append(row, r)
 		}
--- a/coordination/suspecter/witness.go
+++ b/coordination/suspecter/witness.go
@@ -310,9 +310,9 @@
 	}
 }
 
-// contradict clears what another entry accuses and ended well here just before.
+// contradict clears or acquits what another entry accuses and ended well here just before.
 func (w *Witness) contradict(now time.Time, finding banyanplank.Finding) {
-	if finding.Kind != banyanplank.FindingDeath {
+	if finding.Kind != banyanplank.FindingDeath && finding.Kind != banyanplank.FindingConvicted {
 		return
 	}
 	for _, request := range finding.Requests {
@@ -320,9 +320,13 @@
 		if !known || !isSound(ended, now.Add(-finding.Age)) {
 			continue
 		}
-		cleared := banyanplank.Finding{Kind: banyanplank.FindingCleared, Requests: []banyanplank.Fingerprint{request}, Age: now.Sub(ended)}
-		if w.suspects.Observe(now, cleared) {
-			w.tell(now, cleared)
+		answer := banyanplank.Finding{Kind: banyanplank.FindingCleared, Requests: []banyanplank.Fingerprint{request}, Age: now.Sub(ended)}
+		if w.suspects.Judge(now, request) == VerdictRefused {
+			answer.Kind = banyanplank.FindingAcquitted
+			w.note(Note{Event: EventAcquitted, Requests: answer.Requests, How: "ran to its end here", Age: answer.Age})
+		}
+		if w.suspects.Observe(now, answer) {
+			w.tell(now, answer)
 		}
 	}
 }
--- a/coordination/suspecter/witness_test.go
+++ b/coordination/suspecter/witness_test.go
@@ -233,6 +233,47 @@
 	}
 }
 
+// TestRestartedEntryAccuses has an entry that has just started send a sound call to
+// endpoints that have ended, whose addresses still accept connections, and convict it.
+// The others, at which it ended well, know better (soak, seed 105).
+func TestRestartedEntryAccuses(t *testing.T) {
+	const s = time.Second
+	popular, bad := printOf("a", "popular"), printOf("a", "bad")
+	tests := map[string]func(old, fresh *Witness, now time.Time){
+		"they saw it end well": func(old, _ *Witness, now time.Time) {
+			old.Completed(now.Add(-2*s), Run{Request: popular, Endpoint: "x", Born: epoch, Began: now.Add(-3 * s)})
+		},
+		"they saw the endpoints end before": func(old, fresh *Witness, now time.Time) {
+			for _, id := range []string{"1", "2", "3"} {
+				died := now.Add(-s).Sub(epoch)
+				die(old, runAt(bad, id, died-s/10), died)
+			}
+			fresh.Learn(now, old.Tell(now))
+		},
+	}
+	for name, know := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			old, fresh := NewWitness(), NewWitness()
+			now := epoch.Add(10 * s)
+			know(old, fresh, now)
+			for i, id := range []string{"1", "2", "3"} {
+				began := now.Add(time.Duration(3*i) * time.Millisecond).Sub(epoch)
+				die(fresh, runAt(popular, id, began), began+time.Millisecond)
+			}
+			for range 2 {
+				now = now.Add(s / 10)
+				old.Learn(now, fresh.Tell(now))
+				fresh.Learn(now, old.Tell(now))
+			}
+			for _, w := range []*Witness{old, fresh} {
+				guilty, _ := w.Judge(now, popular)
+				is.True(!guilty)
+			}
+		})
+	}
+}
+
 // TestAcquitted has a convicted request that is then seen to run to its end be sent
 // again everywhere, whatever an entry that missed it still tells.
 func TestAcquitted(t *testing.T) {
