Excuse a pause in the soak that no entry could hear

The users excuse a machine that is cut off. The check leaves out windows in which the server's link was at fault; the bound is the same.

--- a/soak/crash.go
+++ b/soak/crash.go
@@ -91,6 +91,21 @@
 	return false
 }
 
+// isCut reports whether the link to a server was at fault between two times, so that the
+// entries may not have had its answers.
+func (w *world) isCut(server string, from, to time.Time) bool {
+	var index int
+	if _, err := fmt.Sscanf(server, serverName, &index, new(int)); err != nil {
+		return false
+	}
+	for _, s := range w.cuts[index] {
+		if s.begin.Before(to) && s.end.After(from) {
+			return true
+		}
+	}
+	return false
+}
+
 // checkCrashes checks that a request that crashes servers is stopped.
 func (w *world) checkCrashes(runs []mimic.Run) (p Promise) {
 	p.Name = "a request that has crashed three servers is sent three times more at most"
@@ -142,7 +157,7 @@
 					after++
 				}
 			}
-			if after > 2 && !w.isHeld(who.entry, until) {
+			if after > 2 && !w.isHeld(who.entry, until) && !w.isCut(who.server, at, until) {
 				p.broke("%s got %d calls from %s in a pause", who.server, after, who.entry)
 			}
 		}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -105,7 +105,7 @@
 	case 1:
 		return &Fault{Kind: "link to store " + link.kind, Target: e.name, strike: through(e.store, link.mode)}
 	case 2, 3:
-		return &Fault{Kind: "link to server " + link.kind, Target: p.name(index), strike: through(p.back, link.mode)}
+		return &Fault{Kind: "link to server " + link.kind, Target: p.name(index), strike: w.cutting(index, link.mode)}
 	case 4:
 		return &Fault{Kind: "server crash", Target: p.name(index), strike: func(over <-chan struct{}) { w.restart(index, over) }}
 	case 5:
@@ -171,6 +171,17 @@
 	}
 }
 
+// cutting sets the mode of the link to a server for a while, and notes when.
+func (w *world) cutting(index int, m mode) (strike func(over <-chan struct{})) {
+	return func(over <-chan struct{}) {
+		begin := time.Now()
+		through(w.places[index].back, m)(over)
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		w.cuts[index] = append(w.cuts[index], span{begin, time.Now()})
+	}
+}
+
 // hold lets one fault after the other have a process.
 func (w *world) hold(e *entry, strike func()) {
 	e.held.Lock()
--- a/soak/process.go
+++ b/soak/process.go
@@ -161,6 +161,9 @@
 	}
 }
 
+// serverName is the form of a server's id: its place, and how often it has run there.
+const serverName = "i-%02d-%d"
+
 // place is one server of the platform, which may run several times in turn.
 type place struct {
 	service string
@@ -191,7 +194,7 @@
 	}
 	p.runs++
 	p.server = &mimic.Server{
-		ID: fmt.Sprintf("i-%02d-%d", index, p.runs), Service: p.service, Zone: p.zone, Address: p.back.address(),
+		ID: fmt.Sprintf(serverName, index, p.runs), Service: p.service, Zone: p.zone, Address: p.back.address(),
 	}
 	mimic.StartServer(p.server, open, store, ledger)
 	return nil
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -106,6 +106,8 @@
 	errs     []error
 	// holds tells when faults had the processes of entries, by the callers' address.
 	holds map[netip.AddrPort][]span
+	// cuts tells when the links to servers were at fault, by the server's place.
+	cuts map[int][]span
 	// crashes tells at which entry each call that crashes servers came.
 	crashes map[string]netip.AddrPort
 }
@@ -117,7 +119,8 @@
 		options: options{seed: 1, entries: defaultEntries, callers: defaultCallers, rounds: defaultRounds},
 		began:   time.Now(), store: mimic.NewStore(), ledger: &mimic.Ledger{},
 		versions: make(map[string]time.Time), stops: make(map[*entry][]span),
-		holds: make(map[netip.AddrPort][]span), crashes: make(map[string]netip.AddrPort),
+		holds: make(map[netip.AddrPort][]span), cuts: make(map[int][]span),
+		crashes: make(map[string]netip.AddrPort),
 	}
 	for _, option := range opts {
 		option(&w.options)
