--- a/coordination/suspecter/witness.go
+++ b/coordination/suspecter/witness.go
@@ -11,20 +11,13 @@
 	"github.com/banyanplank/banyanplank"
 )
 
-// The bounds of what a witness remembers and tells.
+// The bounds of the runs whose endpoint may have died.
 const (
 	// pendingTime is how long a broken run waits for word on its endpoint. One that
 	// crashes without closing its connections is back after some seconds.
 	pendingTime = 15 * time.Second
 	// mostPending bounds the broken runs that wait.
 	mostPending = 512
-	// tellTime is how long a finding is repeated to the other entries. It outlasts
-	// several lost heartbeats to another zone.
-	tellTime = 5 * time.Second
-	// mostEnded bounds the requests that are remembered to have ended well lately.
-	mostEnded = 8192
-	// mostTold bounds the requests in what is told at a time, to fit in a heartbeat.
-	mostTold = 256
 )
 
 // Run is one run of a request that broke off without a whole answer.
@@ -54,12 +47,6 @@
 	at time.Time
 }
 
-// told is an own finding that the other entries are told of, made at a time.
-type told struct {
-	finding banyanplank.Finding
-	at      time.Time
-}
-
 // The events of notes.
 const (
 	EventDied      = "endpoint died"
@@ -86,7 +73,7 @@
 	return func(w *Witness) { w.note = note }
 }
 
-// Witness is an entry's memory of requests that crash endpoints. Other than a [Guard],
+// Witness is an entry's memory of requests that crash endpoints. Unlike a [Guard],
 // which stands beside one endpoint and sees all that runs there, an entry sees its own
 // requests at all endpoints, and learns late which of these have died. A run that broke
 // counts against its request once the endpoint is known to have ended, and not if it
@@ -254,112 +241,6 @@
 	w.exonerate(now, r)
 }
 
-// remember notes that a request ran to its end.
-func (w *Witness) remember(now time.Time, request banyanplank.Fingerprint) {
-	if now.Sub(w.since) > soundTime {
-		w.recent[1] = w.recent[0]
-		w.recent[0], w.since = make(map[banyanplank.Fingerprint]time.Time), now
-	}
-	if len(w.recent[0]) < mostEnded {
-		w.recent[0][request] = now
-	}
-}
-
-// endedWell returns when a request last ran to its end, if that was lately.
-func (w *Witness) endedWell(request banyanplank.Fingerprint) (at time.Time, known bool) {
-	if at, known = w.recent[0][request]; !known {
-		at, known = w.recent[1][request]
-	}
-	return at, known
-}
-
-// exonerate tells the other entries that a suspect ran to its end. One that is convicted
-// has to have begun after the last death that is laid to it.
-func (w *Witness) exonerate(now time.Time, r Run) {
-	finding := banyanplank.Finding{Kind: banyanplank.FindingCleared, Requests: []banyanplank.Fingerprint{r.Request}}
-	if w.suspects.Judge(now, r.Request) == VerdictRefused {
-		last, known := w.suspects.LastDeath(r.Request)
-		if !known || r.Began.Before(last) {
-			return
-		}
-		finding.Kind = banyanplank.FindingAcquitted
-		w.note(Note{Event: EventAcquitted, Endpoint: r.Endpoint, Requests: finding.Requests, How: "ran to its end", Age: now.Sub(last)})
-	}
-	if w.suspects.Observe(now, finding) {
-		w.tell(now, finding)
-		w.judged(now, "ran to its end", 0)
-	}
-}
-
-// Learn takes in what another entry tells.
-func (w *Witness) Learn(now time.Time, findings []banyanplank.Finding) {
-	if len(findings) == 0 {
-		return
-	}
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	news, age := false, time.Duration(0)
-	for _, finding := range findings {
-		if w.suspects.Observe(now, finding) {
-			news, age = true, max(age, finding.Age)
-			w.contradict(now, finding)
-		}
-	}
-	if news {
-		w.judged(now, "told by another entry", age)
-	}
-}
-
-// contradict clears or acquits what another entry accuses and ended well here just before.
-func (w *Witness) contradict(now time.Time, finding banyanplank.Finding) {
-	if finding.Kind != banyanplank.FindingDeath && finding.Kind != banyanplank.FindingConvicted {
-		return
-	}
-	for _, request := range finding.Requests {
-		ended, known := w.endedWell(request)
-		if !known || !isSound(ended, now.Add(-finding.Age)) {
-			continue
-		}
-		answer := banyanplank.Finding{Kind: banyanplank.FindingCleared, Requests: []banyanplank.Fingerprint{request}, Age: now.Sub(ended)}
-		if w.suspects.Judge(now, request) == VerdictRefused {
-			answer.Kind = banyanplank.FindingAcquitted
-			w.note(Note{Event: EventAcquitted, Requests: answer.Requests, How: "ran to its end here", Age: answer.Age})
-		}
-		if w.suspects.Observe(now, answer) {
-			w.tell(now, answer)
-		}
-	}
-}
-
-// Tell returns what to tell the other entries: the own findings of late, and all
-// convictions, so that entries that start learn of them.
-func (w *Witness) Tell(now time.Time) (findings []banyanplank.Finding) {
-	if !w.any.Load() {
-		return nil
-	}
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.forget(now)
-	requests := 0
-	for _, request := range w.guilty {
-		if requests++; requests > mostTold/2 {
-			break
-		}
-		findings = append(findings, banyanplank.Finding{
-			Kind: banyanplank.FindingConvicted, Requests: []banyanplank.Fingerprint{request}, Left: w.suspects.Retry(now, request),
-		})
-	}
-	for _, t := range slices.Backward(w.told) {
-		if requests += len(t.finding.Requests); requests > mostTold {
-			break
-		}
-		finding := t.finding
-		finding.Age += now.Sub(t.at)
-		findings = append(findings, finding)
-	}
-	return findings
-}
-
 // Counts returns how many requests are suspect and how many are convicted.
 func (w *Witness) Counts() (suspects, guilty int) {
 	w.mutex.Lock()
@@ -412,11 +293,6 @@
 	w.judged(now, "own findings", finding.Age)
 }
 
-// tell has a finding told to the other entries.
-func (w *Witness) tell(now time.Time, finding banyanplank.Finding) {
-	w.told = append(w.told, told{finding: finding, at: now})
-}
-
 // judged finds out which requests are guilty now, and notes those that were not before.
 func (w *Witness) judged(now time.Time, how string, age time.Duration) {
 	guilty := w.suspects.Guilty(now)
