--- a/coordination/stepper/lossy_test.go
+++ b/coordination/stepper/lossy_test.go
@@ -76,3 +76,31 @@
 		})
 	}
 }
+
+// TestPassesSlowDown is the pattern of a burst right after a switch was ordered: passes
+// take many times as long, and the map comes into use all the same, well within the time
+// that callers have.
+func TestPassesSlowDown(t *testing.T) {
+	for seed := range uint64(moments(8)) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(72, 2, 144, 3, seed)
+			w.lost, w.pass = 0.03, 35*time.Millisecond
+			var armed, used time.Time
+			play(t, w, []*Stepper{New(w, w.fleet(always))}, 20*time.Second, func(ctx context.Context) {
+				for banyanplank.Pause(ctx, time.Millisecond) == nil {
+					w.mutex.Lock()
+					switch {
+					case armed.IsZero() && w.ranks[0].armed != 0:
+						armed, w.pass = time.Now(), 310*time.Millisecond
+					case used.IsZero() && !armed.IsZero() && w.ranks[0].armed == 0:
+						used = time.Now()
+					}
+					w.mutex.Unlock()
+				}
+			})
+			is.True(!armed.IsZero())
+			is.True(used.Sub(armed) <= 5*time.Second)
+		})
+	}
+}
--- a/coordination/stepper/switch.go
+++ b/coordination/stepper/switch.go
@@ -60,6 +60,9 @@
 	// group can't begin a held pass, so that the next one may be held: the ranks are
 	// mostly armed before it is due.
 	leastAhead = 1
+	// mostAhead bounds that number. Passes may slow down several times before the held
+	// one is due, and until then the map in use is the old one.
+	mostAhead = 15
 	// holdTries bounds the holds that get no answer. One that is carried out
 	// late finds that its pass has begun.
 	holdTries = 4
@@ -152,7 +155,7 @@
 	if pass <= 0 {
 		pass = usualPass
 	}
-	return max(leastAhead, uint64(lead/max(leastPass, pass))+1)
+	return min(max(leastAhead, uint64(lead/max(leastPass, pass))+1), mostAhead)
 }
 
 // arm arms all ranks for a pass that is held.
