Reckon passes ahead as slow as they were of late

No number of passes fits all.

Change: the number follows the slowest pass of late, which counts 1/e after 10 s, in place of a bound. After a lull of passes of 35 ms the held one is 4 ahead as before the lull, not 32.

--- a/coordination/stepper/group.go
+++ b/coordination/stepper/group.go
@@ -18,8 +18,9 @@
 	backends []*banyanplank.Backend
 	reports  []banyanplank.RankReport
 	epoch    uint64
-	// pass is how long a pass takes.
-	pass time.Duration
+	// pass is how long a pass takes, and slowest how long one took of late.
+	pass    time.Duration
+	slowest time.Duration
 	// adopted is how long all ranks took to be armed for the latest map, or zero.
 	adopted time.Duration
 	// lost is the part of the latest orders that got no answer. Given counts the
--- a/coordination/stepper/switch.go
+++ b/coordination/stepper/switch.go
@@ -60,9 +60,10 @@
 	// group can't begin a held pass, so that the next one may be held: the ranks are
 	// mostly armed before it is due.
 	leastAhead = 1
-	// mostAhead bounds that number. Passes may slow down several times before the held
-	// one is due, and until then the map in use is the old one.
-	mostAhead = 15
+	// slowMemory is the time in which the slowest pass of late counts 1/e. After a lull
+	// passes are as slow again as before it, and until the held one is due the old map
+	// is in use.
+	slowMemory = 10 * time.Second
 	// holdTries bounds the holds that get no answer. One that is carried out
 	// late finds that its pass has begun.
 	holdTries = 4
@@ -113,7 +114,7 @@
 			return g.reports[0].Held, nil
 		}
 		// A pass that has begun meanwhile can't be held.
-		step = g.step() + passesIn(g.lead(), g.pass) + uint64(try)
+		step = g.step() + g.ahead() + uint64(try)
 		err = g.ranks.Order(ctx, g.backends[0], banyanplank.RankOrder{Kind: banyanplank.RankHold, Epoch: g.epoch, Step: step})
 		if err == nil {
 			return step, nil
@@ -126,6 +127,9 @@
 	return 0, err
 }
 
+// ahead returns how many passes ahead a pass is that is held now.
+func (g *group) ahead() (passes uint64) { return passesIn(g.lead(), max(g.pass, g.slowest)) }
+
 // lead returns how long before the held pass all ranks are to be armed.
 func (g *group) lead() (lead time.Duration) {
 	switch {
@@ -155,7 +159,7 @@
 	if pass <= 0 {
 		pass = usualPass
 	}
-	return min(max(leastAhead, uint64(lead/max(leastPass, pass))+1), mostAhead)
+	return max(leastAhead, uint64(lead/max(leastPass, pass))+1)
 }
 
 // arm arms all ranks for a pass that is held.
--- a/coordination/stepper/term.go
+++ b/coordination/stepper/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -29,6 +30,8 @@
 	step   uint64
 	at     time.Time
 	pass   time.Duration
+	// slowest is the slowest pass of late.
+	slowest time.Duration
 	// adopted is how long all ranks took to be armed for the latest map.
 	adopted time.Duration
 	// slow lists the endpoints that hold up the group.
@@ -69,9 +72,11 @@
 		s.terms[name] = t
 	} else if step > t.step {
 		t.pass = now.Sub(t.at) / time.Duration(step-t.step)
+		faded := float64(t.slowest) * math.Exp(-now.Sub(t.at).Seconds()/slowMemory.Seconds())
+		t.slowest = max(t.pass, time.Duration(faded))
 	}
 	t.step, t.at = step, now
-	g.pass, g.adopted = t.pass, t.adopted
+	g.pass, g.slowest, g.adopted = t.pass, t.slowest, t.adopted
 	for _, r := range g.reports {
 		t.last = max(t.last, r.Map, r.Prepared, r.Armed)
 	}
