Log changes of the control state in the order in which they are made

Cause: on-call engineers saw versions come into force in an order that is not theirs (10, 16, 21, 6, 14, 19 in one millisecond). Each line was a command, and the commands of an update run in goroutines of their own.

Change: the lines of an update are no commands any more. The control goroutine writes them after the update.

--- a/coordination/surveyor/members.go
+++ b/coordination/surveyor/members.go
@@ -74,7 +74,7 @@
 	s.heardAt = now
 	changed = !s.isAlive || s.member.Incarnation != previous || s.isReady != beat.Ready || s.discoveryLost != beat.CannotFollow || s.isWatcher != beat.IsWatcher
 	if !s.isAlive {
-		m.logEvent(NoteCmd{Event: "peer heard", Topic: banyanplank.TopicMembers, Key: string(beat.From)})
+		m.logEvent(Note{Event: "peer heard", Topic: banyanplank.TopicMembers, Key: string(beat.From)})
 	}
 	s.isAlive, s.isReady, s.discoveryLost, s.isWatcher = true, beat.Ready, beat.CannotFollow, beat.IsWatcher
 	return changed
--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -50,8 +50,8 @@
 // RemoveCmd requests removing a failed member from the platform's list.
 type RemoveCmd struct{ ID banyanplank.DaemonID }
 
-// NoteCmd requests a log line about a state change.
-type NoteCmd struct {
+// Note describes a state change for a log line.
+type Note struct {
 	Event string
 	// Topic and Key identify what changed; Value is the new state.
 	Topic banyanplank.Topic
@@ -115,6 +115,7 @@
 	registerTriedAt time.Time
 	snapshot        *Snapshot
 	commands        []banyanplank.Command
+	notes           []Note
 }
 
 // backendState is an endpoint in service discovery.
@@ -166,26 +167,29 @@
 // Snapshot returns the view after the last update.
 func (m *Model) Snapshot() (s *Snapshot) { return m.snapshot }
 
+// Notes returns the state changes of the last update, in the order in which they were made.
+func (m *Model) Notes() (notes []Note) { return m.notes }
+
 // Update implements [banyanplank.Model].
 func (m *Model) Update(now time.Time, msg banyanplank.Msg) (model banyanplank.Model, commands []banyanplank.Command) {
-	m.commands = nil
+	m.commands, m.notes = nil, nil
 	changed := true
 	switch msg := msg.(type) {
 	case follower.TopicMsg:
 		changed = m.applyTopic(now, msg)
 	case follower.LostMsg:
 		m.topic(msg.Topic).isLost = true
-		m.logEvent(NoteCmd{Event: "topic lost", Topic: msg.Topic, Revision: m.topic(msg.Topic).revision, Err: msg.Err})
+		m.logEvent(Note{Event: "topic lost", Topic: msg.Topic, Revision: m.topic(msg.Topic).revision, Err: msg.Err})
 	case HeardMsg:
 		changed = m.applyHeartbeat(now, msg.Heartbeat)
 	case RegisteredMsg:
 		m.registered = msg.Err == nil
-		m.logEvent(NoteCmd{Event: "register", Topic: banyanplank.TopicMembers, Key: string(m.self.ID), Err: msg.Err})
+		m.logEvent(Note{Event: "register", Topic: banyanplank.TopicMembers, Key: string(m.self.ID), Err: msg.Err})
 	case DrainMsg:
 		m.draining = true
 	case banyanplank.PanicMsg:
 		changed = false
-		m.logEvent(NoteCmd{Event: "command panicked", Key: fmt.Sprintf("%T", msg.Command), Err: msg.Err})
+		m.logEvent(Note{Event: "command panicked", Key: fmt.Sprintf("%T", msg.Command), Err: msg.Err})
 	case banyanplank.TickMsg:
 		changed = m.expire(now)
 	}
@@ -195,8 +199,8 @@
 	return m, m.commands
 }
 
-// logEvent queues a log line.
-func (m *Model) logEvent(command NoteCmd) { m.commands = append(m.commands, command) }
+// logEvent adds a log line to those of this update.
+func (m *Model) logEvent(note Note) { m.notes = append(m.notes, note) }
 
 // topic returns the state of a topic and creates it if needed.
 func (m *Model) topic(name banyanplank.Topic) (t *topicState) {
@@ -221,7 +225,7 @@
 	t.revision, t.isListed = msg.Revision, true
 	if t.isLost && !msg.Relayed {
 		t.isLost = false
-		m.logEvent(NoteCmd{Event: "topic regained", Topic: msg.Topic, Revision: msg.Revision})
+		m.logEvent(Note{Event: "topic regained", Topic: msg.Topic, Revision: msg.Revision})
 	}
 	hasGrace := now.Sub(m.lastUnreached) < reregisterGrace
 	switch msg.Topic {
@@ -245,7 +249,7 @@
 			continue
 		}
 		m.router = router.New(table)
-		m.logEvent(NoteCmd{
+		m.logEvent(Note{
 			Event: "routing in force", Topic: msg.Topic, Key: e.Key, Revision: msg.Revision, Age: now.Sub(msg.RequestedAt),
 			Value: formatTable(table),
 		})
@@ -259,14 +263,14 @@
 		if !b.missingSince.IsZero() && now.Sub(b.missingSince) >= reregisterGrace {
 			delete(m.backends, id)
 			changed = true
-			m.logEvent(NoteCmd{Event: "endpoint gone", Topic: banyanplank.TopicBackends, Key: string(id), Age: now.Sub(b.missingSince)})
+			m.logEvent(Note{Event: "endpoint gone", Topic: banyanplank.TopicBackends, Key: string(id), Age: now.Sub(b.missingSince)})
 		}
 	}
 	for id, s := range m.members {
 		if s.isAlive && now.Sub(s.heardAt) > m.maxHeartbeatAge(s) {
 			s.isAlive = false
 			changed = true
-			m.logEvent(NoteCmd{Event: "peer silent", Topic: banyanplank.TopicMembers, Key: string(id), Age: now.Sub(s.heardAt)})
+			m.logEvent(Note{Event: "peer silent", Topic: banyanplank.TopicMembers, Key: string(id), Age: now.Sub(s.heardAt)})
 		}
 	}
 	reached := m.snapshot.IsWatcher && !m.snapshot.DiscoveryLost
--- a/coordination/surveyor/surveyor_test.go
+++ b/coordination/surveyor/surveyor_test.go
@@ -20,7 +20,7 @@
 type modelDriver struct {
 	model *Model
 	now   time.Time
-	// commands are the commands returned so far, except NoteCmd.
+	// commands are the commands returned so far.
 	commands []banyanplank.Command
 }
 
@@ -32,11 +32,7 @@
 // update sends a message to the model and returns its snapshot.
 func (d *modelDriver) update(msg banyanplank.Msg) (s *Snapshot) {
 	_, commands := d.model.Update(d.now, msg)
-	for _, c := range commands {
-		if _, ok := c.(NoteCmd); !ok {
-			d.commands = append(d.commands, c)
-		}
-	}
+	d.commands = append(d.commands, commands...)
 	return d.model.Snapshot()
 }
 
--- a/coordination/surveyor/topics.go
+++ b/coordination/surveyor/topics.go
@@ -40,7 +40,7 @@
 	m.backends[backend.ID] = &backendState{backend: backend}
 	if old == nil || old.backend.Leaving != backend.Leaving || old.backend.Address != backend.Address ||
 		old.backend.ColdStartLeft != backend.ColdStartLeft || !old.backend.Born.Equal(backend.Born) {
-		m.logEvent(NoteCmd{Event: "endpoint", Topic: banyanplank.TopicBackends, Key: string(backend.ID), Revision: revision, Value: formatBackend(backend)})
+		m.logEvent(Note{Event: "endpoint", Topic: banyanplank.TopicBackends, Key: string(backend.ID), Revision: revision, Value: formatBackend(backend)})
 	}
 }
 
@@ -70,12 +70,12 @@
 	if hasGrace && !b.backend.Leaving {
 		if b.missingSince.IsZero() {
 			b.missingSince = now
-			m.logEvent(NoteCmd{Event: "endpoint missing", Topic: banyanplank.TopicBackends, Key: string(id), Revision: revision})
+			m.logEvent(Note{Event: "endpoint missing", Topic: banyanplank.TopicBackends, Key: string(id), Revision: revision})
 		}
 		return
 	}
 	delete(m.backends, id)
-	m.logEvent(NoteCmd{Event: "endpoint gone", Topic: banyanplank.TopicBackends, Key: string(id), Revision: revision})
+	m.logEvent(Note{Event: "endpoint gone", Topic: banyanplank.TopicBackends, Key: string(id), Revision: revision})
 }
 
 // applyZonesOut applies changes of the availability zones out of service.
@@ -108,5 +108,5 @@
 	} else {
 		delete(m.zonesOut, zone)
 	}
-	m.logEvent(NoteCmd{Event: event, Topic: msg.Topic, Key: string(zone), Revision: msg.Revision, Age: now.Sub(msg.RequestedAt)})
+	m.logEvent(Note{Event: event, Topic: msg.Topic, Key: string(zone), Revision: msg.Revision, Age: now.Sub(msg.RequestedAt)})
 }
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -112,10 +112,14 @@
 // Call it before [Daemon.Run].
 func (d *Daemon) SetHandlers(directory, ready http.Handler) { d.directory, d.ready = directory, ready }
 
-// publish passes a new snapshot of the control state to the balancer, the crash
-// tracker and the requester.
+// publish logs the changes of an update, in their order, and passes a new snapshot of the
+// control state to the balancer, the crash tracker and the requester.
 func (d *Daemon) publish(model banyanplank.Model) {
-	snapshot := model.(*surveyor.Model).Snapshot()
+	survey := model.(*surveyor.Model)
+	for _, note := range survey.Notes() {
+		d.logChange(note)
+	}
+	snapshot := survey.Snapshot()
 	previous := d.snapshot.Swap(snapshot)
 	if previous == snapshot {
 		return
@@ -143,8 +147,6 @@
 // Execute implements banyanplank.Executor.
 func (e executor) Execute(ctx context.Context, command banyanplank.Command) (msg banyanplank.Msg) {
 	switch c := command.(type) {
-	case surveyor.NoteCmd:
-		e.logChange(c)
 	case surveyor.RegisterCmd:
 		revision, err := e.discovery.Register(ctx, c.Member)
 		// Of two entries that start together, the one that registers last has to see
@@ -153,19 +155,19 @@
 		return surveyor.RegisteredMsg{Err: err}
 	case surveyor.RemoveCmd:
 		err := e.discovery.Remove(ctx, c.ID)
-		e.logChange(surveyor.NoteCmd{Event: "remove member", Topic: banyanplank.TopicMembers, Key: string(c.ID), Err: err})
+		e.logChange(surveyor.Note{Event: "remove member", Topic: banyanplank.TopicMembers, Key: string(c.ID), Err: err})
 	}
 	return nil
 }
 
 // logChange logs a change of the control state.
-func (d *Daemon) logChange(change surveyor.NoteCmd) {
+func (d *Daemon) logChange(note surveyor.Note) {
 	line := d.logger.Info()
-	if change.Err != nil {
-		line = d.logger.Warn().Err(change.Err)
+	if note.Err != nil {
+		line = d.logger.Warn().Err(note.Err)
 	}
-	line.Str("topic", string(change.Topic)).Str("key", change.Key).Str("value", change.Value).
-		Uint64("revision", uint64(change.Revision)).Dur("age", change.Age).Msg(change.Event)
+	line.Str("topic", string(note.Topic)).Str("key", note.Key).Str("value", note.Value).
+		Uint64("revision", uint64(note.Revision)).Dur("age", note.Age).Msg(note.Event)
 }
 
 // logPanic logs and counts a panic of the control state, with the type of the message
