Log who watches the store, and when it last confirmed the configuration

Cause: the log of an outdated entry is the same whether it made no calls, made them late, or had the change and didn't serve by it.

Change: lines when an entry starts and stops to watch, and the time since the store last confirmed, to this entry itself, that there was nothing newer.

--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -61,7 +61,10 @@
 	// it was requested or last confirmed.
 	Revision banyanplank.Version
 	Age      time.Duration
-	Err      error
+	// Confirmed is the time since this entry last confirmed with the platform that it
+	// knew all changes of the topic, without the call that led to the new state.
+	Confirmed time.Duration
+	Err       error
 }
 
 // Snapshot is the view of an entry after an update.
@@ -148,6 +151,8 @@
 	changedRevision banyanplank.Version
 	isListed        bool
 	isLost          bool
+	// confirmedAt is when the platform last had no changes beyond revision.
+	confirmedAt time.Time
 }
 
 // NewModel returns a model of the entry self without any known state.
@@ -193,12 +198,26 @@
 	case banyanplank.TickMsg:
 		changed = m.expire(now)
 	}
-	if watches := m.shouldWatch(now); changed || watches != m.snapshot.IsWatcher {
+	watches := m.shouldWatch(now)
+	if watches != m.snapshot.IsWatcher {
+		m.logWatching(now, watches)
+	}
+	if changed || watches != m.snapshot.IsWatcher {
 		m.publish(watches)
 	}
 	return m, m.commands
 }
 
+// logWatching logs that this entry starts or stops watching the platform for others.
+func (m *Model) logWatching(now time.Time, watches bool) {
+	event := "watch stopped"
+	if watches {
+		event = "watch started"
+	}
+	routing := m.topic(banyanplank.TopicRouting)
+	m.logEvent(Note{Event: event, Topic: banyanplank.TopicRouting, Revision: routing.revision, Confirmed: routing.unconfirmedFor(now)})
+}
+
 // logEvent adds a log line to those of this update.
 func (m *Model) logEvent(note Note) { m.notes = append(m.notes, note) }
 
@@ -212,6 +231,15 @@
 	return t
 }
 
+// unconfirmedFor returns the time since the platform last had no changes beyond those
+// known, or zero if it never confirmed that.
+func (t *topicState) unconfirmedFor(now time.Time) (age time.Duration) {
+	if t.confirmedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(t.confirmedAt)
+}
+
 // applyTopic applies the new entries of a topic, and ignores older revisions.
 func (m *Model) applyTopic(now time.Time, msg follower.TopicMsg) (changed bool) {
 	t := m.topic(msg.Topic)
@@ -238,6 +266,9 @@
 	case banyanplank.TopicMembers:
 		m.applyMembers(now, msg)
 	}
+	if msg.ConfirmedAt.After(t.confirmedAt) {
+		t.confirmedAt = msg.ConfirmedAt
+	}
 	return first || len(msg.Entries) > 0 || msg.IsFullList
 }
 
@@ -251,7 +282,7 @@
 		m.router = router.New(table)
 		m.logEvent(Note{
 			Event: "routing in force", Topic: msg.Topic, Key: e.Key, Revision: msg.Revision, Age: now.Sub(msg.RequestedAt),
-			Value: formatTable(table),
+			Confirmed: m.topic(msg.Topic).unconfirmedFor(now), Value: formatTable(table),
 		})
 	}
 }
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -167,7 +167,7 @@
 		line = d.logger.Warn().Err(note.Err)
 	}
 	line.Str("topic", string(note.Topic)).Str("key", note.Key).Str("value", note.Value).
-		Uint64("revision", uint64(note.Revision)).Dur("age", note.Age).Msg(note.Event)
+		Uint64("revision", uint64(note.Revision)).Dur("age", note.Age).Dur("confirmed", note.Confirmed).Msg(note.Event)
 }
 
 // logPanic logs and counts a panic of the control state, with the type of the message
--- a/state/follower/follower.go
+++ b/state/follower/follower.go
@@ -61,6 +61,9 @@
 	Relayed bool
 	// RequestedAt is when the call that returned the entries was made.
 	RequestedAt time.Time
+	// ConfirmedAt is a time up to which the platform has no changes beyond Revision. It is
+	// zero if the reply may be stale.
+	ConfirmedAt time.Time
 }
 
 // LostMsg reports that a topic can't be followed at the moment.
@@ -232,17 +235,22 @@
 	}
 	c.calledAt = time.Now()
 	msg := TopicMsg{Topic: c.topic, IsFullList: !c.isListed, Resumed: c.isLost, RequestedAt: time.Now()}
+	isCurrent := true
 	switch {
 	case !c.isListed:
 		msg.Entries, msg.Revision, err = c.discovery.List(ctx, c.topic)
+		wait = 0
 	case wait == 0:
-		msg.Entries, msg.Revision, err = c.fetchCurrent(ctx)
+		msg.Entries, msg.Revision, isCurrent, err = c.fetchCurrent(ctx)
 	default:
 		msg.Entries, msg.Revision, err = c.discovery.Changes(ctx, c.topic, c.revision, wait)
 	}
 	if err != nil {
 		return err
 	}
+	if isCurrent {
+		msg.ConfirmedAt = confirmationTime(c.calledAt, wait)
+	}
 	c.hadChanges = wait > 0 && len(msg.Entries) > 0
 	c.revision, c.isListed, c.isLost = msg.Revision, true, false
 	c.markRecovered()
@@ -250,17 +258,27 @@
 	return nil
 }
 
-// fetchCurrent returns the current changes, at least up to the revision that peers
-// are known to have.
-func (c *cursor) fetchCurrent(ctx context.Context) (entries []banyanplank.DiscoveryItem, revision banyanplank.Version, err error) {
+// confirmationTime returns a time at which a reply that has just arrived was current. A call
+// that waits for changes is answered with the state at the end of its wait at the latest.
+func confirmationTime(calledAt time.Time, wait time.Duration) (confirmedAt time.Time) {
+	if now := time.Now(); now.Before(calledAt.Add(wait)) {
+		return now
+	}
+	return calledAt.Add(wait)
+}
+
+// fetchCurrent returns the changes at least up to the revision that peers are known to
+// have, and whether they are all changes at the time of the call.
+func (c *cursor) fetchCurrent(ctx context.Context) (entries []banyanplank.DiscoveryItem, revision banyanplank.Version, isCurrent bool, err error) {
 	entries, revision, err = c.discovery.Peek(ctx, c.topic, c.revision)
 	if err == nil && revision >= max(c.revision, c.hintedRevision(c.hint)) {
-		return entries, revision, nil
+		return entries, revision, false, nil
 	}
 	if errors.Is(err, banyanplank.ErrCompacted) {
-		return nil, 0, err
+		return nil, 0, false, err
 	}
-	return c.discovery.Changes(ctx, c.topic, c.revision, 0)
+	entries, revision, err = c.discovery.Changes(ctx, c.topic, c.revision, 0)
+	return entries, revision, err == nil, err
 }
 
 // awaitHint waits until there are changes to fetch or this daemon has to watch.
