--- a/gateway/testfleet_test.go
+++ b/gateway/testfleet_test.go
@@ -167,6 +167,16 @@
 	return f
 }
 
+// except returns the IDs of all entries but one.
+func (f *testFleet) except(id banyanplank.DaemonID) (others []banyanplank.DaemonID) {
+	for _, d := range f.daemons {
+		if d.self.ID != id {
+			others = append(others, d.self.ID)
+		}
+	}
+	return others
+}
+
 // daemon returns the entry with an ID.
 func (f *testFleet) daemon(id banyanplank.DaemonID) (d *Daemon) {
 	for _, d := range f.daemons {
