Ask the store when no peer confirms that there are no changes

An entry that doesn't watch called the store when a peer named a newer revision, and else each 10 s. Silence of the watching entries looked like an absence of changes. Where a second entry took over, it did so when a watch of the first had timed out, up to 2.7 s after the store had fallen silent.

Change: the platform's replies confirm that an entry knows all changes of a topic. Full heartbeats carry the age of the last confirmation. An entry that has none for 1.4 s, neither of its own nor of a peer, asks the store itself, first by the cheap call that shows whether it answers at all. Its own confirmation spares the others the call, and shows that the store can be reached, so that it takes over the watch. A watch waits 1 s instead of 2, counted from the last confirmation, so that a healthy fleet makes no call for lack of confirmations. A lost topic is asked for again after its backoff, not at the next poll. The follower's tests have a peer that confirms now, as the fleets that they stand for do; what they check is the same.

--- a/coordination/beater/beater_test.go
+++ b/coordination/beater/beater_test.go
@@ -108,6 +108,7 @@
 			IsWatcher:    rapid.Bool().Draw(t, "watches"),
 			InFlight:     map[banyanplank.BackendID]int{},
 			Revisions:    map[banyanplank.Topic]banyanplank.Version{},
+			ConfirmedAge: time.Duration(rapid.Uint32().Draw(t, "confirmed")) * time.Millisecond,
 		}
 		for _, id := range rapid.SliceOfDistinct(name, func(s string) string { return s }).Draw(t, "endpoints") {
 			sent.InFlight[banyanplank.BackendID(id)] = rapid.IntRange(1, 100).Draw(t, "calls")
--- a/coordination/beater/heartbeat.go
+++ b/coordination/beater/heartbeat.go
@@ -4,6 +4,7 @@
 package beater
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -23,8 +24,8 @@
 	Zone        banyanplank.Zone
 	Peer        netip.AddrPort
 	Caller      netip.AddrPort
-	// IsLean reports whether Zone, Peer, Caller and Revisions are omitted. Their
-	// values are those of the sender's last full heartbeat.
+	// IsLean reports whether Zone, Peer, Caller, Revisions and ConfirmedAge are omitted.
+	// The values of the first four are those of the sender's last full heartbeat.
 	IsLean bool
 	// Ready reports whether the sender accepts new callers.
 	Ready bool
@@ -41,6 +42,9 @@
 	// Revisions is the revision up to which the sender knows the changes of each
 	// topic.
 	Revisions map[banyanplank.Topic]banyanplank.Version
+	// ConfirmedAge is the time since the platform confirmed to the sender that there were
+	// no changes beyond Revisions, or zero if it did not. It has a resolution of 1 ms.
+	ConfirmedAge time.Duration
 	// Findings report requests that crash endpoints.
 	Findings []banyanplank.Finding
 	// Leavers are endpoints that announced that they are leaving, while the
@@ -50,10 +54,11 @@
 
 // Lean returns a copy of the heartbeat without the fields that receivers know
 // from an earlier heartbeat of the same incarnation: zone, addresses and
-// revisions.
+// revisions. Without these, it confirms nothing.
 func (b *Heartbeat) Lean() (lean *Heartbeat) {
 	compact := *b
 	compact.IsLean, compact.Zone, compact.Peer, compact.Caller, compact.Revisions = true, "", netip.AddrPort{}, netip.AddrPort{}, nil
+	compact.ConfirmedAge = 0
 	return &compact
 }
 
@@ -76,6 +81,7 @@
 		Watches:     heartbeat.IsWatcher,
 		Lean:        heartbeat.IsLean,
 		Findings:    carrier.EncodeFindings(heartbeat.Findings),
+		Confirmed:   packAge(heartbeat.ConfirmedAge),
 	}
 	for id, calls := range heartbeat.InFlight {
 		message.Endpoints = append(message.Endpoints, string(id))
@@ -99,6 +105,16 @@
 	return datagram, err
 }
 
+// packAge returns an age in milliseconds, rounded up. An age that exceeds the range of the
+// field is sent as unknown.
+func packAge(age time.Duration) (millis uint32) {
+	rounded := (age + time.Millisecond - 1) / time.Millisecond
+	if rounded < 0 || rounded > math.MaxUint32 {
+		return 0
+	}
+	return uint32(rounded)
+}
+
 // packAddress returns the bytes of an IP address followed by its port, or nil
 // for an invalid address.
 func packAddress(address netip.AddrPort) (packed []byte) {
@@ -149,6 +165,7 @@
 		InFlight:     make(map[banyanplank.BackendID]int, len(message.Endpoints)),
 		Revisions:    make(map[banyanplank.Topic]banyanplank.Version, len(message.Topics)),
 		Findings:     carrier.DecodeFindings(message.Findings),
+		ConfirmedAge: time.Duration(message.Confirmed) * time.Millisecond,
 	}
 	if heartbeat.From == "" || heartbeat.Peer.IsValid() == heartbeat.IsLean {
 		return nil, errors.New("sender ID or peer address is missing or inconsistent")
--- a/coordination/surveyor/members.go
+++ b/coordination/surveyor/members.go
@@ -80,9 +80,12 @@
 	return changed
 }
 
-// isPlatformReachedByPeers reports whether another live entry that watches the
-// platform can reach it.
-func (m *Model) isPlatformReachedByPeers() bool {
+// isPlatformReached reports whether this entry, or another live one that watches the
+// platform, can reach it.
+func (m *Model) isPlatformReached(now time.Time) bool {
+	if t := m.topic(banyanplank.TopicBackends); !t.isLost && !t.confirmedAt.IsZero() && now.Sub(t.confirmedAt) < confirmationMaxAge {
+		return true
+	}
 	for _, s := range m.members {
 		if s.isAlive && s.isWatcher && !s.discoveryLost {
 			return true
@@ -100,6 +103,9 @@
 	// platform that others can reach. The heartbeats of other zones take 0.72 s to
 	// report that none can.
 	takeoverDelay = time.Second
+	// confirmationMaxAge is the age of the last confirmation by the platform up to which it
+	// counts as reached. An entry that doesn't watch asks for one each 1.4 s.
+	confirmationMaxAge = 2 * time.Second
 )
 
 // shouldWatch decides whether this entry watches the platform for others.
@@ -107,7 +113,7 @@
 	if m.startedAt.IsZero() {
 		m.startedAt = now
 	}
-	first, takeover := m.watchEligibility()
+	first, takeover := m.watchEligibility(now)
 	if !takeover {
 		m.takeoverSince = time.Time{}
 	} else if m.takeoverSince.IsZero() {
@@ -121,7 +127,7 @@
 // watches. A later one watches while all preceding ones can't reach the platform: the
 // second always, the others only while some entry can reach it, which bounds the calls
 // to a platform that is down.
-func (m *Model) watchEligibility() (first, takeover bool) {
+func (m *Model) watchEligibility(now time.Time) (first, takeover bool) {
 	preceding := 0
 	for id, s := range m.members {
 		if !s.isAlive || s.member.Zone != m.self.Zone || id > m.self.ID {
@@ -132,7 +138,7 @@
 		}
 		preceding++
 	}
-	return preceding < 2, preceding >= 2 && m.isPlatformReachedByPeers()
+	return preceding < 2, preceding >= 2 && m.isPlatformReached(now)
 }
 
 // maxHeartbeatAge returns the maximum age of the last heartbeat of a live entry.
--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -305,7 +305,7 @@
 		}
 	}
 	reached := m.snapshot.IsWatcher && !m.snapshot.DiscoveryLost
-	if m.topic(banyanplank.TopicBackends).isListed && !reached && !m.isPlatformReachedByPeers() {
+	if m.topic(banyanplank.TopicBackends).isListed && !reached && !m.isPlatformReached(now) {
 		m.lastUnreached = now
 	}
 	m.maintainMembers(now)
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -98,11 +98,22 @@
 		InFlight:     d.balancer.InFlight(),
 		Slow:         d.slowEndpoints(),
 		Revisions:    snapshot.Revisions,
+		ConfirmedAge: d.confirmedAge(),
 		Findings:     d.gateway.crashTracker.SharedFindings(time.Now()),
 		Leavers:      d.balancer.LeavingEndpoints(),
 	}
 }
 
+// confirmedAge returns the time since the platform confirmed to this entry that it knew all
+// changes, or zero if it never did.
+func (d *Daemon) confirmedAge() (age time.Duration) {
+	confirmedAt := d.follower.ConfirmedAt()
+	if confirmedAt.IsZero() {
+		return 0
+	}
+	return max(time.Millisecond, time.Since(confirmedAt))
+}
+
 // handleHeartbeat applies the heartbeat of a peer.
 func (d *Daemon) handleHeartbeat(beat *beater.Heartbeat) {
 	d.balancer.UpdatePeer(time.Now(), beat.From, beat.InFlight)
@@ -120,6 +131,9 @@
 			d.follower.RecordHint(topic, revision)
 		}
 	}
+	if beat.ConfirmedAge > 0 {
+		d.follower.RecordConfirmation(time.Now().Add(-beat.ConfirmedAge))
+	}
 	d.loop.Send(context.Background(), surveyor.HeardMsg{Heartbeat: beat})
 }
 
--- a/gateway/heartbeat_test.go
+++ b/gateway/heartbeat_test.go
@@ -15,6 +15,7 @@
 	"github.com/banyanplank/banyanplank/coordination/router"
 	"github.com/banyanplank/banyanplank/coordination/surveyor"
 	"github.com/banyanplank/banyanplank/coordination/suspecter"
+	"github.com/banyanplank/banyanplank/state/follower"
 )
 
 // TestLeanHeartbeatsHideNoChange guards against entries of a large fleet that omit
@@ -28,6 +29,7 @@
 				d := &Daemon{
 					self:     banyanplank.Member{ID: "e0", Zone: "a", PeerAddress: netip.MustParseAddrPort("10.0.0.1:1")},
 					balancer: balancer.New(),
+					follower: follower.New(nil, nil),
 					gateway:  &Gateway{crashTracker: suspecter.NewCrashTracker()},
 				}
 				snapshot := &surveyor.Snapshot{Revisions: map[banyanplank.Topic]banyanplank.Version{banyanplank.TopicRouting: 1}}
@@ -71,7 +73,7 @@
 // other availability zones only with the next regular heartbeat.
 func TestUrgentHeartbeatsReachAllZones(t *testing.T) {
 	is := is.New(t)
-	d := &Daemon{self: banyanplank.Member{ID: "e0", Zone: "a"}, balancer: balancer.New(), beater: beater.New(netip.AddrPort{}, nil, nil, nil)}
+	d := &Daemon{self: banyanplank.Member{ID: "e0", Zone: "a"}, balancer: balancer.New(), follower: follower.New(nil, nil), beater: beater.New(netip.AddrPort{}, nil, nil, nil)}
 	d.gateway = &Gateway{crashTracker: suspecter.NewCrashTracker(suspecter.WithUrgentHandler(d.sendUrgently))}
 	d.snapshot.Store(&surveyor.Snapshot{Peers: []banyanplank.Member{{Zone: "a"}, {Zone: "b"}, {Zone: "c"}}})
 	_, _, _, remote := d.composeHeartbeats()
--- a/state/follower/follower.go
+++ b/state/follower/follower.go
@@ -7,7 +7,8 @@
 //
 // A waiting call counts against the platform's limits. So only some daemons
 // watch; the others fetch changes when a hint from a peer reports that there
-// are some.
+// are some. A daemon that watches confirms in its heartbeats that there are no
+// others. Without such confirmations, a daemon asks the platform itself.
 package follower
 
 import (
@@ -24,9 +25,14 @@
 
 // The defaults of a [Follower].
 const (
-	// DefaultWatchTimeout is how long one call waits for changes. It bounds the
-	// time until a dead connection is noticed.
-	DefaultWatchTimeout = 2 * time.Second
+	// DefaultWatchTimeout is the maximum time between two replies of a platform without
+	// changes, which confirm that there are none.
+	DefaultWatchTimeout = time.Second
+	// maxUnconfirmed is the time without a confirmation by the platform, to this daemon or to
+	// a peer, after which this daemon asks the platform itself. Peers that watch confirm each
+	// [DefaultWatchTimeout], and their heartbeats take up to 0.12 s more, or 0.24 s if one is
+	// lost.
+	maxUnconfirmed = 1400 * time.Millisecond
 	// DefaultMaxBackoff is the maximum backoff after a failed call; the minimum is
 	// half of it. A daemon that the platform rejects makes four to eight calls per
 	// second and topic.
@@ -115,6 +121,11 @@
 	peers        Peers
 	mutex        sync.Mutex
 	hints        map[banyanplank.Topic]*hint
+	// confirmations holds when the platform last confirmed to this daemon that it knew all
+	// changes of a topic, for each topic that it follows. peerConfirmation is the latest
+	// time at which it confirmed that for all topics to a peer.
+	confirmations    map[banyanplank.Topic]time.Time
+	peerConfirmation time.Time
 	// prober is the topic that keeps calling the platform during an outage, or nil.
 	// recovered is closed when a call succeeds.
 	prober    *cursor
@@ -136,6 +147,8 @@
 		maxBackoff:   DefaultMaxBackoff,
 		isWatcher:    func() bool { return true },
 		hints:        make(map[banyanplank.Topic]*hint),
+
+		confirmations: make(map[banyanplank.Topic]time.Time),
 	}
 	for _, option := range options {
 		option(f)
@@ -158,6 +171,30 @@
 	}
 }
 
+// RecordConfirmation reports that a peer knew all changes of all topics at a time. The hints
+// of that peer are to be recorded before.
+func (f *Follower) RecordConfirmation(confirmedAt time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if confirmedAt.After(f.peerConfirmation) {
+		f.peerConfirmation = confirmedAt
+	}
+}
+
+// ConfirmedAt returns when the platform last confirmed to this daemon itself that it knew all
+// changes of the topics that it follows. It is zero if one was never confirmed.
+func (f *Follower) ConfirmedAt() (confirmedAt time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	first := true
+	for _, at := range f.confirmations {
+		if first || at.Before(confirmedAt) {
+			confirmedAt, first = at, false
+		}
+	}
+	return confirmedAt
+}
+
 // hintOf returns the hint of a topic and creates it if needed.
 func (f *Follower) hintOf(topic banyanplank.Topic) (h *hint) {
 	f.mutex.Lock()
@@ -184,7 +221,8 @@
 
 // Follow follows a topic until ctx ends.
 func (f *Follower) Follow(ctx context.Context, topic banyanplank.Topic) {
-	c := cursor{Follower: f, topic: topic, hint: f.hintOf(topic), pollInterval: DefaultPollInterval, isWatcher: f.isWatcher}
+	c := cursor{Follower: f, topic: topic, hint: f.hintOf(topic), pollInterval: DefaultPollInterval, isWatcher: f.isWatcher, needsConfirmation: true}
+	c.confirm(time.Time{})
 	c.run(ctx)
 }
 
@@ -209,8 +247,10 @@
 	hint         *hint
 	pollInterval time.Duration
 	isWatcher    func() bool
-	revision     banyanplank.Version
-	calledAt     time.Time
+	// needsConfirmation is set if changes must be known soon after they are made.
+	needsConfirmation bool
+	revision          banyanplank.Version
+	calledAt          time.Time
 	// hadChanges is set if the last watch returned changes.
 	hadChanges bool
 	isListed   bool
@@ -219,10 +259,9 @@
 
 // fetch makes one call and sends its result.
 func (c *cursor) fetch(ctx context.Context) (err error) {
-	wait := c.watchTimeout
-	if c.isListed && !c.isWatcher() {
+	watches := c.isWatcher()
+	if c.isListed && !watches {
 		c.awaitHint(ctx)
-		wait = 0
 		if err := ctx.Err(); err != nil {
 			return err
 		}
@@ -234,13 +273,17 @@
 		}
 	}
 	c.calledAt = time.Now()
+	wait := time.Duration(0)
+	if watches {
+		wait = max(0, c.watchTimeout-c.unconfirmedFor())
+	}
 	msg := TopicMsg{Topic: c.topic, IsFullList: !c.isListed, Resumed: c.isLost, RequestedAt: time.Now()}
 	isCurrent := true
 	switch {
 	case !c.isListed:
 		msg.Entries, msg.Revision, err = c.discovery.List(ctx, c.topic)
 		wait = 0
-	case wait == 0:
+	case !watches:
 		msg.Entries, msg.Revision, isCurrent, err = c.fetchCurrent(ctx)
 	default:
 		msg.Entries, msg.Revision, err = c.discovery.Changes(ctx, c.topic, c.revision, wait)
@@ -250,8 +293,9 @@
 	}
 	if isCurrent {
 		msg.ConfirmedAt = confirmationTime(c.calledAt, wait)
+		c.confirm(msg.ConfirmedAt)
 	}
-	c.hadChanges = wait > 0 && len(msg.Entries) > 0
+	c.hadChanges = watches && len(msg.Entries) > 0
 	c.revision, c.isListed, c.isLost = msg.Revision, true, false
 	c.markRecovered()
 	c.send(msg)
@@ -267,25 +311,57 @@
 	return calledAt.Add(wait)
 }
 
+// confirm records that the platform had no changes of the topic at a time beyond those known.
+func (c *cursor) confirm(confirmedAt time.Time) {
+	if !c.needsConfirmation {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.confirmations[c.topic] = confirmedAt
+}
+
+// unconfirmedFor returns the time since the platform last confirmed to this daemon itself
+// that there were no other changes.
+func (c *cursor) unconfirmedFor() (age time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return time.Since(c.confirmations[c.topic])
+}
+
+// isUnconfirmed reports whether neither this daemon nor a peer has heard from the platform
+// of late that there are no other changes.
+func (c *cursor) isUnconfirmed() (unconfirmed bool) {
+	if !c.needsConfirmation || c.unconfirmedFor() < maxUnconfirmed {
+		return false
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return time.Since(c.peerConfirmation) >= maxUnconfirmed
+}
+
 // fetchCurrent returns the changes at least up to the revision that peers are known to
-// have, and whether they are all changes at the time of the call.
+// have, and whether they are all changes at the time of the call. Without a confirmation of
+// late, or after failed calls, the cheap call shows first whether the platform answers at all.
 func (c *cursor) fetchCurrent(ctx context.Context) (entries []banyanplank.DiscoveryItem, revision banyanplank.Version, isCurrent bool, err error) {
+	unconfirmed := c.isUnconfirmed()
 	entries, revision, err = c.discovery.Peek(ctx, c.topic, c.revision)
-	if err == nil && revision >= max(c.revision, c.hintedRevision(c.hint)) {
+	if err == nil && !unconfirmed && revision >= max(c.revision, c.hintedRevision(c.hint)) {
 		return entries, revision, false, nil
 	}
-	if errors.Is(err, banyanplank.ErrCompacted) {
+	if err != nil && (unconfirmed || c.isLost || errors.Is(err, banyanplank.ErrCompacted)) {
 		return nil, 0, false, err
 	}
 	entries, revision, err = c.discovery.Changes(ctx, c.topic, c.revision, 0)
 	return entries, revision, err == nil, err
 }
 
-// awaitHint waits until there are changes to fetch or this daemon has to watch.
+// awaitHint waits until there are changes to fetch, or nobody confirms that there are none,
+// or this daemon has to watch. A lost topic is fetched without a wait.
 func (c *cursor) awaitHint(ctx context.Context) {
 	ticker := time.NewTicker(watchCheckInterval)
 	defer ticker.Stop()
-	for c.hintedRevision(c.hint) <= c.revision && time.Since(c.calledAt) < c.pollInterval && !c.isWatcher() {
+	for !c.isLost && c.hintedRevision(c.hint) <= c.revision && time.Since(c.calledAt) < c.pollInterval && !c.isUnconfirmed() && !c.isWatcher() {
 		select {
 		case <-ctx.Done():
 			return
--- a/state/follower/follower_test.go
+++ b/state/follower/follower_test.go
@@ -21,9 +21,11 @@
 	revision banyanplank.Version
 	changes  map[banyanplank.Version]banyanplank.DiscoveryItem
 	errors   []error
-	calls    int
-	peeks    int
-	lag      banyanplank.Version
+	// isUnavailable makes all calls fail.
+	isUnavailable bool
+	calls         int
+	peeks         int
+	lag           banyanplank.Version
 	// oldest is the first revision after which history is kept.
 	oldest  banyanplank.Version
 	updated chan struct{}
@@ -59,9 +61,19 @@
 	if len(d.errors) > 0 {
 		err, d.errors = d.errors[0], d.errors[1:]
 	}
+	if d.isUnavailable {
+		err = banyanplank.ErrUnavailable
+	}
 	return err
 }
 
+// setUnavailable sets whether all calls fail from now on.
+func (d *fakeDiscovery) setUnavailable(unavailable bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.isUnavailable = unavailable
+}
+
 // changesSince returns the changes after a revision.
 func (d *fakeDiscovery) changesSince(after banyanplank.Version) (entries []banyanplank.DiscoveryItem, revision banyanplank.Version, changed chan struct{}) {
 	d.mutex.Lock()
@@ -112,8 +124,11 @@
 func (d *fakeDiscovery) Peek(_ context.Context, _ banyanplank.Topic, after banyanplank.Version) (entries []banyanplank.DiscoveryItem, revision banyanplank.Version, err error) {
 	d.mutex.Lock()
 	d.peeks++
-	lag := d.lag
+	lag, unavailable := d.lag, d.isUnavailable
 	d.mutex.Unlock()
+	if unavailable {
+		return nil, 0, banyanplank.ErrUnavailable
+	}
 	if d.isCompacted(after) {
 		return nil, 0, banyanplank.ErrCompacted
 	}
@@ -163,13 +178,18 @@
 	return keys
 }
 
-// runFollower follows a topic for duration while script runs.
+// runFollower follows a topic for duration while script runs and a peer watches the platform.
 func runFollower(t *testing.T, f *Follower, duration time.Duration, script func()) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), duration)
 	defer cancel()
 	var work conc.WaitGroup
 	work.Go(func() { f.Follow(ctx, banyanplank.TopicBackends) })
+	work.Go(func() {
+		for banyanplank.Sleep(ctx, maxUnconfirmed/10) == nil {
+			f.RecordConfirmation(time.Now())
+		}
+	})
 	script()
 	work.Wait()
 }
@@ -342,3 +362,48 @@
 		is.True(received.Load() >= 2)
 	})
 }
+
+// TestAsksPlatformWithoutConfirmations guards against a daemon that takes the silence of its
+// peers for the absence of changes, and against calls at a high rate to a platform that
+// answers nobody.
+func TestAsksPlatformWithoutConfirmations(t *testing.T) {
+	const span = 30 * time.Second
+	tests := map[string]struct {
+		confirmed    time.Duration
+		unavailable  bool
+		calls, peeks int
+	}{
+		"a peer confirms":        {100 * time.Millisecond, false, 1, int(span / DefaultPollInterval)},
+		"nobody confirms":        {0, false, int(span/maxUnconfirmed) + 1, int(span / maxUnconfirmed)},
+		"a peer confirms late":   {5 * time.Second, false, int(span/maxUnconfirmed) + 1, int(span / maxUnconfirmed)},
+		"nobody is answered":     {0, true, 1, int(span / (idleMaxBackoff / 2))},
+		"a peer alone is served": {100 * time.Millisecond, true, 2, int(span / (idleMaxBackoff / 2))},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				discovery := newFakeDiscovery()
+				f := New(discovery, (&recorder{}).send, WithWatcher(func() bool { return false }))
+				ctx, cancel := context.WithTimeout(t.Context(), span)
+				defer cancel()
+				var work conc.WaitGroup
+				work.Go(func() { f.Follow(ctx, banyanplank.TopicBackends) })
+				for last := time.Now(); banyanplank.Sleep(ctx, 100*time.Millisecond) == nil; {
+					if test.confirmed > 0 && time.Since(last) >= test.confirmed {
+						last = time.Now()
+						f.RecordConfirmation(last)
+					}
+					discovery.setUnavailable(test.unavailable)
+				}
+				work.Wait()
+				counts := discovery.counts()
+				is.True(counts[0] <= test.calls)
+				is.True(counts[1] <= test.peeks)
+				if test.confirmed != 100*time.Millisecond && !test.unavailable {
+					is.True(counts[0] >= test.calls/2)
+				}
+			})
+		})
+	}
+}
