Log the rate limits that endpoints name

Cause: nothing tells that an endpoint has named a limit (Server-Limit), so the hypotheses on ignored limits can't be told apart.

Change: the codec reads the field. No decision changes.

Conclusion: the calls of each entry can be counted from the time at which it knew the limit.

--- a/call.go
+++ b/call.go
@@ -68,6 +68,12 @@
 	Pause time.Duration
 	// InvalidPause is the text of the pause that the endpoint sent, if out of bounds.
 	InvalidPause string
+	// IsRateLimited reports that the endpoint names RateLimit, the requests per second that
+	// it accepts from all entries together. An answer that names none ends the limit.
+	IsRateLimited bool
+	RateLimit     float64
+	// InvalidRateLimit is the text of a limit that the endpoint sent and that can't be read.
+	InvalidRateLimit string
 }
 
 // LeavingBackend is an incarnation of an endpoint that has announced its shutdown.
--- a/coordination/balancer/selfreport.go
+++ b/coordination/balancer/selfreport.go
@@ -42,6 +42,8 @@
 	resumeAt time.Time
 	// coldUntil is when the endpoint's cold start ends.
 	coldUntil time.Time
+	// limit is the rate that the endpoint last named.
+	limit rateLimit
 }
 
 // selfReportOf returns the report of an endpoint. It starts an empty one for an
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -13,6 +13,7 @@
 	if reply.InvalidPause != "" {
 		g.logger.Warn().Str("endpoint", string(b.ID)).Str("id", f.info.Attempt).Str("pause", reply.InvalidPause).Dur("taken", reply.Pause).Msg("odd pause")
 	}
+	f.observeLimit(reply)
 	if !f.lease.RecordReply(reply) {
 		return
 	}
@@ -25,6 +26,23 @@
 	}
 }
 
+// observeLimit applies the rate limit that the endpoint of the lease names with its response.
+func (f *forwarder) observeLimit(reply *banyanplank.ReplyInfo) {
+	g, endpoint := f.gateway, string(f.lease.Backend.ID)
+	if reply.InvalidRateLimit != "" {
+		g.logger.Warn().Str("endpoint", endpoint).Str("id", f.info.Attempt).Str("limit", reply.InvalidRateLimit).Msg("odd limit")
+	}
+	if !f.lease.RecordLimit(reply) {
+		return
+	}
+	event := "endpoint limit ended"
+	if reply.IsRateLimited {
+		event = "endpoint limits"
+		g.counters.set.GetOrCreateCounter("banyanplank_endpoint_limits_total").Inc()
+	}
+	g.logger.Info().Str("endpoint", endpoint).Str("id", f.info.Attempt).Float64("limit", reply.RateLimit).Msg(event)
+}
+
 // recordLeaving records and logs that an endpoint announced its exit, so that the
 // exit does not count as a crash. Source names who reported it.
 func (g *Gateway) recordLeaving(l banyanplank.LeavingBackend, source string) {
