Ask a store that has compacted its history at the usual rate

Change: a lost topic is due after its backoff since the last call. An entry to which nobody confirms its state lists the topic in place of a peer's state, which confirms nothing.

--- a/state/follower/follower.go
+++ b/state/follower/follower.go
@@ -356,12 +356,21 @@
 	return entries, revision, err == nil, err
 }
 
-// awaitHint waits until there are changes to fetch, or nobody confirms that there are none,
-// or this daemon has to watch. A lost topic is fetched without a wait.
+// isDue reports whether to call the platform without a hint: at each poll interval, after a
+// backoff if the topic is lost, and when nobody confirms that there are no changes.
+func (c *cursor) isDue() (due bool) {
+	interval := c.pollInterval
+	if c.isLost {
+		interval = idleMaxBackoff / 2
+	}
+	return time.Since(c.calledAt) >= interval || c.isUnconfirmed()
+}
+
+// awaitHint waits until there are changes to fetch, a call is due, or this daemon has to watch.
 func (c *cursor) awaitHint(ctx context.Context) {
 	ticker := time.NewTicker(watchCheckInterval)
 	defer ticker.Stop()
-	for !c.isLost && c.hintedRevision(c.hint) <= c.revision && time.Since(c.calledAt) < c.pollInterval && !c.isUnconfirmed() && !c.isWatcher() {
+	for c.hintedRevision(c.hint) <= c.revision && !c.isDue() && !c.isWatcher() {
 		select {
 		case <-ctx.Done():
 			return
@@ -374,10 +383,10 @@
 }
 
 // handleError reports an error and backs off. Compacted history needs a new list, unless
-// a peer has the missing changes, and no backoff.
+// a peer that confirms its state has the missing changes, and no backoff.
 func (c *cursor) handleError(ctx context.Context, err error) {
 	if errors.Is(err, banyanplank.ErrCompacted) {
-		c.isListed = !c.isWatcher() && c.catchUp(ctx)
+		c.isListed = !c.isWatcher() && !c.isUnconfirmed() && c.catchUp(ctx)
 		return
 	}
 	if ctx.Err() != nil {
--- a/state/follower/outage_test.go
+++ b/state/follower/outage_test.go
@@ -104,3 +104,38 @@
 		})
 	})
 }
+
+// TestCompactedTopicIsPolledSlowly guards against calls without a pause by a daemon that has
+// lost a topic or hears no confirmation, while the platform answers that it has compacted its
+// history, and a peer has the changes.
+func TestCompactedTopicIsPolledSlowly(t *testing.T) {
+	const span = 20 * time.Second
+	for name, confirmed := range map[string]bool{"a peer confirms": true, "nobody confirms": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				discovery := newFakeDiscovery()
+				f := New(discovery, (&recorder{}).send, WithPeers(fakePeers{revision: 3}), WithWatcher(func() bool { return false }))
+				ctx, cancel := context.WithTimeout(t.Context(), span)
+				defer cancel()
+				var work conc.WaitGroup
+				work.Go(func() { f.Follow(ctx, banyanplank.TopicBackends) })
+				time.Sleep(time.Second)
+				discovery.setUnavailable(true)
+				time.Sleep(5 * time.Second)
+				discovery.mutex.Lock()
+				discovery.isUnavailable, discovery.oldest = false, 1000
+				before := discovery.peeks + discovery.calls
+				discovery.mutex.Unlock()
+				for banyanplank.Sleep(ctx, 100*time.Millisecond) == nil {
+					if confirmed {
+						f.RecordConfirmation(time.Now())
+					}
+				}
+				work.Wait()
+				counts := discovery.counts()
+				is.True(counts[0]+counts[1]-before <= 2*int(span/(idleMaxBackoff/2)))
+			})
+		})
+	}
+}
