Keep to the rates that endpoints name, over all entries

Cause: endpoints got more requests than the rate that they name in their answers (LIMIT). Nothing but a log line reads the field.

Change: each entry keeps a token bucket for an endpoint with a limit, for all calls that it sends there. The limit is divided among as many entries as it bears after an idle time, in which each may save up one call; all derive the same division from the lists of endpoints and live entries. Heartbeats tell the entries without a part what the endpoint said, also that it names none any more. When all endpoints that could take a call limit their rate, it is refused at once if its turn comes too late, with the time until then. A limit holds for the incarnation; one that can't be read changes nothing; one of zero leaves a call in 10 s, whose answer can end it.

--- a/call.go
+++ b/call.go
@@ -76,6 +76,17 @@
 	InvalidRateLimit string
 }
 
+// BackendLimit is the rate limit that an incarnation of an endpoint named to an entry.
+type BackendLimit struct {
+	ID   BackendID
+	Born time.Time
+	// PerSecond is the number of requests per second from all entries together, or
+	// negative if the endpoint names no limit any more.
+	PerSecond float64
+	// Age is the time since the endpoint said so. It has a resolution of 1 ms.
+	Age time.Duration
+}
+
 // LeavingBackend is an incarnation of an endpoint that has announced its shutdown.
 type LeavingBackend struct {
 	ID   BackendID
--- a/coordination/balancer/balancer.go
+++ b/coordination/balancer/balancer.go
@@ -26,6 +26,12 @@
 	return func(b *Balancer) { b.zone = zone }
 }
 
+// WithEntry sets the ID of this entry, which decides on its part of the rate limits of
+// endpoints. Without it, this entry counts as the first one.
+func WithEntry(id banyanplank.DaemonID) Option {
+	return func(b *Balancer) { b.entry = id }
+}
+
 // WithRandom sets the source of all random choices. The default is a source with
 // a random seed.
 func WithRandom(random *rand.Rand) Option {
@@ -42,6 +48,7 @@
 // concurrent use.
 type Balancer struct {
 	mutex          sync.Mutex
+	entry          banyanplank.DaemonID
 	zone           banyanplank.Zone
 	random         *rand.Rand
 	retryRatio     float64
@@ -115,6 +122,9 @@
 	// unreachable entries: behind a partition they still use their part. Zero
 	// means Entries.
 	KnownEntries int
+	// EntryIDs lists the live entries in order, among which the rate limits of endpoints
+	// are divided.
+	EntryIDs []banyanplank.DaemonID
 	// MaxGaps is the longest time between two events of a stream, by service, that
 	// callers accept as on time.
 	MaxGaps map[banyanplank.ServiceName]time.Duration
--- a/coordination/balancer/endpoint.go
+++ b/coordination/balancer/endpoint.go
@@ -58,6 +58,10 @@
 	ejectedUntil        time.Time
 	probing             bool
 	coldLimiter         tokenBucket
+	// rateLimiter holds this entry's part of the rate that the endpoint names, which
+	// division determines.
+	rateLimiter tokenBucket
+	division    limitDivision
 	// report is what this incarnation reported about itself.
 	report *selfReport
 	// slowStartLimit limits ownCalls after a pause that the endpoint requested. It
@@ -167,6 +171,9 @@
 	if now.Before(s.report.coldUntil) {
 		s.coldLimiter.takeToken(now)
 	}
+	if s.report.limit.isNamed {
+		s.rateLimiter.takeToken(now)
+	}
 }
 
 // recordFailure records a failed call and ejects the endpoint. The ejection doubles with
@@ -229,3 +236,9 @@
 	k.refill(now)
 	k.tokens--
 }
+
+// timeToToken returns the time until a call may be sent. The rate must be positive.
+func (k *tokenBucket) timeToToken(now time.Time) (wait time.Duration) {
+	k.refill(now)
+	return time.Duration(max(0, 1-k.tokens) / k.rate * float64(time.Second))
+}
--- a/coordination/balancer/pool.go
+++ b/coordination/balancer/pool.go
@@ -137,6 +137,7 @@
 		s.moveToGroup(g)
 		s.update(now, backend, fleet.ZonesOut[backend.Zone], spec.ColdRate/knownEntries)
 	}
+	rank, _ := slices.BinarySearch(fleet.EntryIDs, p.owner.entry)
 	for id := range p.endpoints {
 		if !listed[id] {
 			delete(p.endpoints, id)
@@ -144,8 +145,9 @@
 	}
 	maps.DeleteFunc(p.groups, func(name banyanplank.GroupName, _ *group) bool { return !present[name] })
 	p.shuffled, p.localEndpoints = p.shuffled[:0], 0
-	for _, id := range slices.Sorted(maps.Keys(p.endpoints)) {
+	for i, id := range slices.Sorted(maps.Keys(p.endpoints)) {
 		s := p.endpoints[id]
+		s.divideLimit(now, limitDivision{endpoint: i, endpoints: len(p.endpoints), entry: rank, entries: max(1, len(fleet.EntryIDs))})
 		p.shuffled = append(p.shuffled, s)
 		if s.backend.Zone == p.owner.zone && !s.zoneOut {
 			p.localEndpoints++
@@ -186,6 +188,8 @@
 	maxWait := time.Duration(float64(query.LatencyGoal) * maxWaitShare)
 	if query.Resumed {
 		maxWait = resumedMaxWait
+	} else if wait := p.rateLimitWait(now, query); wait > maxWait {
+		return nil, nil, newRefusal(banyanplank.ReasonOverload, p.retryAfterRateLimit(wait), "all endpoints limit their rate")
 	} else if p.expectedWait() > maxWait {
 		return nil, nil, newRefusal(banyanplank.ReasonOverload, p.retryAfterOverload(), "all endpoints are busy")
 	}
@@ -261,7 +265,7 @@
 	p.owner.random.Shuffle(len(p.shuffled), func(i, j int) { p.shuffled[i], p.shuffled[j] = p.shuffled[j], p.shuffled[i] })
 	allowSlow := p.hasOnlySlow(now, query)
 	for _, s := range p.shuffled {
-		if !s.isUsable(now) || s.callsInFlight()+1 > p.limit(s)+0.5 || !s.isWithinStartLimits(now) || slices.Contains(query.Avoid, s.backend.ID) {
+		if !s.isUsable(now) || s.callsInFlight()+1 > p.limit(s)+0.5 || !s.isWithinStartLimits(now) || !s.isWithinRateLimit(now) || slices.Contains(query.Avoid, s.backend.ID) {
 			continue
 		}
 		if s.isInProbeBackoff(now) || (s.isSlow(now) && !allowSlow) {
--- a/coordination/balancer/selfreport.go
+++ b/coordination/balancer/selfreport.go
@@ -172,15 +172,16 @@
 	exclusionPaused
 	exclusionFailing
 	exclusionProbing
+	exclusionLimited
 )
 
 // String returns the exclusion's label in metrics and refusals.
 func (r Exclusion) String() string {
-	return [...]string{"none", "zone_out", "leaving", "paused", "failing", "tried"}[r]
+	return [...]string{"none", "zone_out", "leaving", "paused", "failing", "tried", "limited"}[r]
 }
 
 // Exclusions lists all exclusions.
-var Exclusions = []Exclusion{exclusionZoneOut, exclusionLeaving, exclusionPaused, exclusionFailing, exclusionProbing}
+var Exclusions = []Exclusion{exclusionZoneOut, exclusionLeaving, exclusionPaused, exclusionFailing, exclusionProbing, exclusionLimited}
 
 // exclusion returns the reason why the endpoint gets no calls, regardless of its
 // capacity.
@@ -197,6 +198,8 @@
 	case s.consecutiveFailures > 0 && s.probing:
 		// After an ejection, one call at a time probes the endpoint.
 		return exclusionProbing
+	case s.report.limit.isNamed && !s.division.hasPart(s.report.limit):
+		return exclusionLimited
 	}
 	return exclusionNone
 }
--- a/coordination/beater/beater_test.go
+++ b/coordination/beater/beater_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"reflect"
@@ -81,7 +82,11 @@
 		"missing count":          encoded(func(p *pulser.Pulse) { p.Endpoints = []string{"x"} }),
 		"missing revision":       encoded(func(p *pulser.Pulse) { p.Topics = []string{"x"} }),
 		"missing birth time":     encoded(func(p *pulser.Pulse) { p.Leavers = []string{"x"} }),
-		"truncated field":        encoded(func(*pulser.Pulse) {})[:4],
+		"missing rate":           encoded(func(p *pulser.Pulse) { p.Limited, p.LimitedBirths, p.Ages = []string{"x"}, []int64{1}, []uint32{1} }),
+		"rate is not a number": encoded(func(p *pulser.Pulse) {
+			p.Limited, p.LimitedBirths, p.Ages, p.Rates = []string{"x"}, []int64{1}, []uint32{1}, []float64{math.NaN()}
+		}),
+		"truncated field": encoded(func(*pulser.Pulse) {})[:4],
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := decode([]byte(datagram))
@@ -119,6 +124,12 @@
 			born := time.UnixMilli(rapid.Int64Range(0, 1<<45).Draw(t, "born"))
 			sent.Leavers = append(sent.Leavers, banyanplank.LeavingBackend{ID: id, Born: born})
 		}
+		for id := range sent.InFlight {
+			sent.Limits = append(sent.Limits, banyanplank.BackendLimit{
+				ID: id, Born: time.UnixMilli(rapid.Int64Range(0, 1<<45).Draw(t, "limited")),
+				PerSecond: rapid.Float64Range(-1, 1e9).Draw(t, "rate"), Age: time.Duration(rapid.Uint32().Draw(t, "told")) * time.Millisecond,
+			})
+		}
 		for range rapid.IntRange(0, 3).Draw(t, "findings") {
 			span := rapid.Custom(func(t *rapid.T) time.Duration {
 				return time.Duration(rapid.IntRange(0, 600_000).Draw(t, "ms")) * time.Millisecond
--- a/coordination/beater/heartbeat.go
+++ b/coordination/beater/heartbeat.go
@@ -47,6 +47,8 @@
 	ConfirmedAge time.Duration
 	// Findings report requests that crash endpoints.
 	Findings []banyanplank.Finding
+	// Limits are the rate limits that endpoints named to the sender of late.
+	Limits []banyanplank.BackendLimit
 	// Leavers are endpoints that announced that they are leaving, while the
 	// platform still lists them as ready.
 	Leavers []banyanplank.LeavingBackend
@@ -94,6 +96,12 @@
 		message.Leavers = append(message.Leavers, string(l.ID))
 		message.Births = append(message.Births, l.Born.UnixMilli())
 	}
+	for _, l := range heartbeat.Limits {
+		message.Limited = append(message.Limited, string(l.ID))
+		message.LimitedBirths = append(message.LimitedBirths, l.Born.UnixMilli())
+		message.Rates = append(message.Rates, l.PerSecond)
+		message.Ages = append(message.Ages, packAge(l.Age))
+	}
 	for topic, revision := range heartbeat.Revisions {
 		message.Topics = append(message.Topics, string(topic))
 		message.Revisions = append(message.Revisions, uint64(revision))
@@ -148,7 +156,8 @@
 	if err := proto.Unmarshal(datagram, &message); err != nil {
 		return nil, err
 	}
-	if len(message.Endpoints) != len(message.Counts) || len(message.Topics) != len(message.Revisions) || len(message.Leavers) != len(message.Births) {
+	if len(message.Endpoints) != len(message.Counts) || len(message.Topics) != len(message.Revisions) || len(message.Leavers) != len(message.Births) ||
+		len(message.Limited) != len(message.LimitedBirths) || len(message.Limited) != len(message.Rates) || len(message.Limited) != len(message.Ages) {
 		return nil, errors.New("keys and values differ in number")
 	}
 	heartbeat = &Heartbeat{
@@ -179,6 +188,15 @@
 	for i, id := range message.Leavers {
 		heartbeat.Leavers = append(heartbeat.Leavers, banyanplank.LeavingBackend{ID: banyanplank.BackendID(id), Born: time.UnixMilli(message.Births[i])})
 	}
+	for i, id := range message.Limited {
+		if math.IsNaN(message.Rates[i]) || math.IsInf(message.Rates[i], 0) {
+			return nil, errors.Newf("rate limit of endpoint %q is not a number", id)
+		}
+		heartbeat.Limits = append(heartbeat.Limits, banyanplank.BackendLimit{
+			ID: banyanplank.BackendID(id), Born: time.UnixMilli(message.LimitedBirths[i]),
+			PerSecond: message.Rates[i], Age: time.Duration(message.Ages[i]) * time.Millisecond,
+		})
+	}
 	for i, topic := range message.Topics {
 		heartbeat.Revisions[banyanplank.Topic(topic)] = banyanplank.Version(message.Revisions[i])
 	}
--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -77,8 +77,10 @@
 	// unless it drains. Peers are all entries that heartbeats are sent to.
 	Entries []banyanplank.Member
 	Peers   []banyanplank.Member
-	// AliveEntries is the number of live entries, including this one.
+	// AliveEntries is the number of live entries, including this one, and AliveIDs lists
+	// their IDs in order.
 	AliveEntries int
+	AliveIDs     []banyanplank.DaemonID
 	// KnownEntries is the number of entries that may be running, including this one and those
 	// without recent heartbeats.
 	KnownEntries int
@@ -319,6 +321,7 @@
 		ZonesOut:     make(map[banyanplank.Zone]bool, len(m.zonesOut)),
 		Revisions:    make(map[banyanplank.Topic]banyanplank.Version, len(m.topics)),
 		AliveEntries: 1,
+		AliveIDs:     []banyanplank.DaemonID{m.self.ID},
 		KnownEntries: len(m.members) + 1,
 	}
 	for zone := range m.zonesOut {
@@ -338,12 +341,14 @@
 		s.Peers = append(s.Peers, member.member)
 		if member.isAlive {
 			s.AliveEntries++
+			s.AliveIDs = append(s.AliveIDs, member.member.ID)
 		}
 		if member.isAlive && member.isReady {
 			s.Entries = append(s.Entries, member.member)
 		}
 	}
 	slices.SortFunc(s.Entries, func(a, b banyanplank.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	slices.Sort(s.AliveIDs)
 	s.IsWatcher = watches
 	// A majority is required, so that at most one side of a network partition has
 	// a leader.
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -75,7 +75,7 @@
 		},
 	}
 	limits := settings.Limits
-	d.balancer = balancer.New(balancer.WithZone(settings.Zone), balancer.WithRetryBudget(limits.Share, limits.Slack, time.Duration(limits.Span)))
+	d.balancer = balancer.New(balancer.WithEntry(settings.Name), balancer.WithZone(settings.Zone), balancer.WithRetryBudget(limits.Share, limits.Slack, time.Duration(limits.Span)))
 	model := surveyor.NewModel(d.self)
 	d.snapshot.Store(model.Snapshot())
 	counters := newCounters()
@@ -124,7 +124,7 @@
 	if previous == snapshot {
 		return
 	}
-	fleet := balancer.Fleet{Backends: snapshot.Backends, ZonesOut: snapshot.ZonesOut, Entries: snapshot.AliveEntries, KnownEntries: snapshot.KnownEntries}
+	fleet := balancer.Fleet{Backends: snapshot.Backends, ZonesOut: snapshot.ZonesOut, Entries: snapshot.AliveEntries, KnownEntries: snapshot.KnownEntries, EntryIDs: snapshot.AliveIDs}
 	if snapshot.Router != nil {
 		table := snapshot.Router.Table()
 		fleet.Pools, fleet.MaxGaps = table.Pools, make(map[banyanplank.ServiceName]time.Duration)
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -101,6 +101,7 @@
 		ConfirmedAge: d.confirmedAge(),
 		Findings:     d.gateway.crashTracker.SharedFindings(time.Now()),
 		Leavers:      d.balancer.LeavingEndpoints(),
+		Limits:       d.balancer.Limits(),
 	}
 }
 
@@ -118,6 +119,7 @@
 func (d *Daemon) handleHeartbeat(beat *beater.Heartbeat) {
 	d.balancer.UpdatePeer(time.Now(), beat.From, beat.InFlight)
 	d.balancer.MarkSlow(time.Now(), beat.Slow)
+	d.balancer.MarkLimits(time.Now(), beat.Limits)
 	d.gateway.crashTracker.MergeFindings(time.Now(), beat.Findings)
 	for _, l := range d.balancer.MarkLeaving(time.Now(), beat.Leavers) {
 		d.gateway.recordLeaving(l, "entry "+string(beat.From))
