Take no repeated refusal for the answer to the next call

Cause: an endpoint that writes a refusal without an id once more on a kept connection makes the next call count as not run (REFUSED), and a call that must not be repeated goes to a second endpoint (TWICE). Refusals were accepted without the id of their call. Those with the id of an earlier call were skipped already.

Change: a refusal without an id is accepted only as the first response of its connection. Otherwise the outcome of the call is unknown, and the connection is closed.

--- a/transport/requester/exchange.go
+++ b/transport/requester/exchange.go
@@ -35,16 +35,24 @@
 			return &Error{Sent: true, Err: err}
 		}
 	}
+	// On a connection that has carried a response, a refusal without an ID may be that
+	// response once more.
+	acceptsAnonymous := !e.conn.hasAnswered
 	for range maxStrayResponses + 1 {
 		response, err := e.readHead(call.Method) //nolint:bodyclose // Close closes the connection.
 		if err != nil {
 			return &Error{Sent: true, Err: errors.Wrap(err, "read answer")}
 		}
+		e.conn.hasAnswered = true
 		reply := e.requester.codec.ReadReply(response)
-		if reply.Attempt == call.Attempt || (reply.Attempt == "" && reply.NotRun) {
+		switch {
+		case reply.Attempt == call.Attempt || reply.Attempt == "" && reply.NotRun && acceptsAnonymous:
 			e.Response, e.Reply = response, reply
 			return nil
+		case reply.Attempt == "" && reply.NotRun:
+			return &Error{Sent: true, Err: errors.New("refusal without an id on a kept connection")}
 		}
+		acceptsAnonymous = false
 		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBodyBytes)); err != nil || n == maxStrayBodyBytes || response.Close {
 			return &Error{Sent: true, Err: errors.Newf("answer to call %q instead of %q", reply.Attempt, call.Attempt)}
 		}
--- a/transport/requester/requester.go
+++ b/transport/requester/requester.go
@@ -118,6 +118,8 @@
 	// take, while inHead is set.
 	headBytesLeft int
 	inHead        bool
+	// hasAnswered is set once the connection has carried a response.
+	hasAnswered bool
 }
 
 // ErrHeadTooLong means that an endpoint sent too many bytes before the body of a
--- a/transport/requester/requester_test.go
+++ b/transport/requester/requester_test.go
@@ -127,6 +127,47 @@
 	}
 }
 
+// TestRepeatedRefusalIsNotTakenForAnAnswer guards against an endpoint that writes an earlier
+// refusal once more on a kept connection: the next call, which may be running, must not count
+// as not run.
+func TestRepeatedRefusalIsNotTakenForAnAnswer(t *testing.T) {
+	const anonymous = "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	const named = "HTTP/1.1 503 No\r\nId: c1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	tests := map[string]struct {
+		refusal string
+		answer  string
+		body    string
+		failed  bool
+	}{
+		"without an id":                  {refusal: anonymous, answer: anonymous, failed: true},
+		"without an id, then the answer": {refusal: anonymous, answer: anonymous + response("c2"), failed: true},
+		"with its id":                    {refusal: named, answer: named, failed: true},
+		"with its id, then the answer":   {refusal: named, answer: named + response("c2"), body: "ok"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r, backend := New(testCodec{}), endpoint(t, func(conn net.Conn, reader *bufio.Reader) {
+				for _, text := range []string{test.refusal, test.answer} {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, text)
+				}
+			})
+			exchange, err := r.Send(t.Context(), backend, newCall("c1"))
+			is.NoErr(err)
+			is.True(exchange.Reply.NotRun)
+			exchange.Drain()
+			exchange.Close()
+			body, err := get(t.Context(), r, backend, newCall("c2"))
+			var failure *Error
+			is.Equal(errors.As(err, &failure) && failure.Sent, test.failed)
+			is.Equal(body, test.body)
+		})
+	}
+}
+
 func TestSendReportsUnsentWhenConnectFails(t *testing.T) {
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
