Continue a stream only with events

With a response without a length that ended before its first event, the stream ended as if it were complete. Other errors were no fault here: they cut the stream.

Change: the rest of a stream has the media type of its beginning, or that of event streams. A response without a length that brings no event counts as broken off, also for the rest.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +22,8 @@
 	// maxProgressAge is the longest time since the last event of any stream of the
 	// endpoint's group for the group to count as alive.
 	maxProgressAge = 300 * time.Millisecond
+	// mediaTypeEvents is the media type of event streams.
+	mediaTypeEvents = "text/event-stream"
 	// readBufferBytes is the initial size of the buffer for events.
 	readBufferBytes = 4096
 	// maxEventBytes bounds a single event.
@@ -29,8 +32,10 @@
 
 // stream is the state of a response that is forwarded event by event.
 type stream struct {
-	// headerSent reports whether the caller has the status and header.
+	// headerSent reports whether the caller has the status and header, and mediaType is the
+	// type of the body that the header names.
 	headerSent bool
+	mediaType  string
 	// lastID is the id of the last event sent to the caller.
 	lastID      string
 	events      int
@@ -51,6 +56,9 @@
 	if !exchange.Reply.Sealed {
 		return f.handleBroken(errors.New("response has no server seal"))
 	}
+	if got := mediaTypeOf(exchange.Response.Header); f.stream.headerSent && got != f.stream.mediaType && got != mediaTypeEvents {
+		return f.handleBroken(errors.Newf("body of type %q instead of the rest of the stream", got))
+	}
 	err := f.copyEvents(exchange)
 	if err == nil {
 		exchange.MarkComplete()
@@ -65,19 +73,25 @@
 // ensureHeader forwards the status and header unless they are already sent.
 func (f *forwarder) ensureHeader(exchange *requester.Exchange) {
 	if !f.stream.headerSent {
-		f.stream.headerSent = true
+		f.stream.headerSent, f.stream.mediaType = true, mediaTypeOf(exchange.Response.Header)
 		f.result.timeToFirst = time.Since(f.arrivedAt)
 		f.writeHeader(exchange.Response, -1)
 	}
 }
 
+// mediaTypeOf returns the type of the body that a header names, without parameters.
+func mediaTypeOf(header http.Header) (mediaType string) {
+	mediaType, _, _ = strings.Cut(header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(mediaType))
+}
+
 // copyEvents forwards whole events until the response ends. An error means that it
 // broke off.
 func (f *forwarder) copyEvents(exchange *requester.Exchange) (err error) {
 	if err := f.buffered.reserve(readBufferBytes); err != nil {
 		return err
 	}
-	buffer, progress := make([]byte, 0, readBufferBytes), time.Now()
+	buffer, progress, earlierEvents := make([]byte, 0, readBufferBytes), time.Now(), f.stream.events
 	for {
 		rest, err := f.writeEvents(exchange, buffer)
 		if err != nil {
@@ -111,8 +125,8 @@
 				return err
 			case len(rest) > 0:
 				return errors.Newf("response ends within an event, after %d bytes of it", len(rest))
-			case f.stream.events == 0 && !exchange.IsFramed():
-				return errors.New("connection ends before the first event")
+			case f.stream.events == earlierEvents && !exchange.IsFramed():
+				return errors.New("connection ends before the first event of the response")
 			}
 			return nil
 		}
