End a stream at once when an empty response completes it

Cause: a caller whose stream broke off after its last event waited until its time limit and got a cut stream, when the next endpoint answered with an empty body and its length. The entry waited for the first byte of a body that has none.

Change: a body of length zero is read without a wait.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -209,6 +209,7 @@
 		"unframed, cut in event":   {true, []handler{unframed(streamEvents(1, 3, "id: 4\nda", false)), streamEvents(4, 6, "", false)}, eventText(1, 6), false, 200, []string{"", "3"}},
 		"unframed, no event":       {true, []handler{unframed(streamEvents(1, 0, "", false)), streamEvents(1, 3, "", false)}, eventText(1, 3), false, 200, []string{"", ""}},
 		"unframed, nothing left":   {true, []handler{streamEvents(1, 3, "", true), unframed(streamEvents(4, 3, "", false))}, eventText(1, 3), true, 200, []string{"", "3"}},
+		"nothing left":             {true, []handler{streamEvents(1, 3, "", true), streamEvents(4, 3, "", false)}, eventText(1, 3), false, 200, []string{"", "3"}},
 		"unsealed, goes elsewhere": {true, []handler{respondUnsealed, streamEvents(1, 3, "", false)}, eventText(1, 3), false, 200, []string{"", ""}},
 	}
 	for name, test := range tests {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -113,8 +113,11 @@
 		if f.route.Resumable && f.gateway.balancer.IsSlow(f.lease.Backend.ID) {
 			return errSlowRank
 		}
-		if err := exchange.Await(f.ctx, streamSilenceTimeout, f.mayGiveUpStream); err != nil {
-			return err
+		// An empty body has no bytes to wait for.
+		if exchange.Response.ContentLength != 0 {
+			if err := exchange.Await(f.ctx, streamSilenceTimeout, f.mayGiveUpStream); err != nil {
+				return err
+			}
 		}
 		n, err := exchange.Response.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
