--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/state/follower"
 )
 
 // TestChangesAreLoggedInOrder guards against log lines that show older versions of the
@@ -78,3 +79,55 @@
 		}
 	}
 }
+
+// TestEntryWithoutHeartbeatsFollows guards against an entry that hears none of its peers, or not
+// those that watch the store, and serves an outdated configuration.
+func TestEntryWithoutHeartbeatsFollows(t *testing.T) {
+	tests := map[string]func(from, to banyanplank.DaemonID) bool{
+		"hears nobody":              func(_, to banyanplank.DaemonID) bool { return to == "a-3" },
+		"hears not the watching":    func(from, to banyanplank.DaemonID) bool { return to == "a-3" && from[2:] == "1" },
+		"hears its zone alone":      func(from, to banyanplank.DaemonID) bool { return to == "a-3" && from[0] != 'a' },
+		"hears other zones alone":   func(from, to banyanplank.DaemonID) bool { return to == "a-3" && from[0] == 'a' },
+		"heard by nobody":           func(from, _ banyanplank.DaemonID) bool { return from == "a-3" },
+		"nobody hears the watching": func(from, _ banyanplank.DaemonID) bool { return from[2:] == "1" },
+	}
+	for name, cut := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newTestFleet(map[banyanplank.Zone]int{"a": 3, "b": 2, "c": 2})
+				f.run(t, func() {
+					time.Sleep(7 * time.Second)
+					f.setCut(cut)
+					for version := uint64(2); version < 8; version++ {
+						f.store.put(banyanplank.TopicRouting, "main", &banyanplank.RoutingTable{Version: version})
+						time.Sleep(configurationBound)
+						is.Equal(f.version("a-3"), version)
+					}
+				})
+			})
+		})
+	}
+}
+
+// TestHealthyFleetCallsStoreRarely guards against calls of entries that don't watch while those
+// that do confirm that there are no changes.
+func TestHealthyFleetCallsStoreRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const span, topics = 30 * time.Second, 3
+		f := newTestFleet(map[banyanplank.Zone]int{"a": 5, "b": 5})
+		f.run(t, func() {
+			time.Sleep(span)
+			for _, d := range f.daemons {
+				interval := follower.DefaultPollInterval
+				if d.self.ID[2:] == "1" {
+					interval = follower.DefaultWatchTimeout
+				}
+				calls := topics * float64(span/interval)
+				// Besides, each entry lists the topics at its start, and the entries twice.
+				is.True(float64(f.store.callCount(d.self.ID)) <= 1.1*calls+topics+3)
+			}
+		})
+	})
+}
