Tell peers of no endpoint that is missing from the store's list

Cause: an entry that got the list of endpoints from a peer, in the two seconds in which that peer waited for an endpoint that had lapsed during an outage, kept the endpoint for good. The peer's list held it under a revision that includes its end, so the entry never asked for that change.

Change: a peer gets the endpoints without those that are missing.

--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -72,6 +72,9 @@
 	// Router is nil until a routing table is known.
 	Router   *router.Router
 	Backends []banyanplank.Backend
+	// Missing holds those of the Backends that the platform no longer lists and that have
+	// time to return.
+	Missing  map[banyanplank.BackendID]bool
 	ZonesOut map[banyanplank.Zone]bool
 	// Entries are the live entries that accept new callers, including this one
 	// unless it drains. Peers are all entries that heartbeats are sent to.
@@ -332,6 +335,12 @@
 		s.DiscoveryLost = s.DiscoveryLost || t.isLost
 	}
 	s.Backends = m.currentBackends()
+	s.Missing = make(map[banyanplank.BackendID]bool)
+	for id, b := range m.backends {
+		if !b.missingSince.IsZero() {
+			s.Missing[id] = true
+		}
+	}
 	slices.SortFunc(s.Backends, func(a, b banyanplank.Backend) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	s.Ready = m.router != nil && m.topic(banyanplank.TopicBackends).isListed && m.topic(banyanplank.TopicZonesOut).isListed && !m.draining
 	if s.Ready {
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -131,3 +131,28 @@
 		})
 	})
 }
+
+// TestLapsedEndpointIsForgottenByAll guards against an endpoint that lapsed during an outage
+// and stays known for good to an entry that learned of it through a peer, which still waited
+// for its return.
+func TestLapsedEndpointIsForgottenByAll(t *testing.T) {
+	for outage := 5 * time.Second; outage < 7*time.Second; outage += 130 * time.Millisecond {
+		t.Run(outage.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newTestFleet(map[banyanplank.Zone]int{"a": 2})
+				f.store.put(banyanplank.TopicBackends, "x", banyanplank.Backend{ID: "x", Service: "s"})
+				f.run(t, func() {
+					time.Sleep(3 * time.Second)
+					f.store.setSilent("a-1", "a-2")
+					time.Sleep(outage)
+					f.store.put(banyanplank.TopicBackends, "x", nil)
+					f.store.setSilent("a-2")
+					time.Sleep(8 * time.Second)
+					is.Equal(len(f.daemon("a-1").snapshot.Load().Backends), 0)
+					is.Equal(len(f.daemon("a-2").snapshot.Load().Backends), 0)
+				})
+			})
+		})
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -92,7 +92,13 @@
 		case banyanplank.TopicRouting:
 			state.Table = snapshot.Router.Table()
 		case banyanplank.TopicBackends:
-			state.Backends = snapshot.Backends
+			// A peer that got a missing endpoint would not learn that it has left: that
+			// change is not later than the revision.
+			for _, b := range snapshot.Backends {
+				if !snapshot.Missing[b.ID] {
+					state.Backends = append(state.Backends, b)
+				}
+			}
 		case banyanplank.TopicZonesOut:
 			for zone := range snapshot.ZonesOut {
 				state.Out = append(state.Out, zone)
