Bound the rate limits that a heartbeat tells

Cause: an entry that calls hundreds of endpoints with limits would tell of all of them, and its heartbeats would exceed their size of 16 KiB and not be sent. Found by reading the change.

Change: a heartbeat tells the 128 latest ones.

Figures: TestToldLimitsAreBounded failed, with 384 limits told, and passes.

Conclusion: entries with so many calls hear of most endpoints themselves.

--- a/coordination/balancer/ratelimit.go
+++ b/coordination/balancer/ratelimit.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -22,6 +23,9 @@
 	// limitToldAge is how long an entry tells its peers what an endpoint said. It allows
 	// for several lost heartbeats.
 	limitToldAge = 10 * time.Second
+	// maxToldLimits bounds the limits in one heartbeat, at some 35 bytes each. The latest
+	// ones go first.
+	maxToldLimits = 128
 	// minLimitChange is the relative change of a limit from which it is worth a log line.
 	minLimitChange = 0.1
 	// maxRateLimitWait bounds the retry delay of callers when all endpoints limit their rate.
@@ -147,8 +151,8 @@
 	return old.isNamed != reply.IsRateLimited || math.Abs(reply.RateLimit-old.perSecond) >= minLimitChange*old.perSecond
 }
 
-// Limits returns what endpoints said of their rate limits to this entry itself of late,
-// sorted by ID, to tell peers.
+// Limits returns what endpoints said of their rate limits to this entry itself of late, the
+// latest first, to tell peers.
 func (b *Balancer) Limits() (limits []banyanplank.BackendLimit) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -166,8 +170,10 @@
 			limits = append(limits, told)
 		}
 	}
-	slices.SortFunc(limits, func(a, b banyanplank.BackendLimit) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	return limits
+	slices.SortFunc(limits, func(a, b banyanplank.BackendLimit) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), strings.Compare(string(a.ID), string(b.ID)))
+	})
+	return limits[:min(len(limits), maxToldLimits)]
 }
 
 // MarkLimits records what endpoints said of their rate limits to a peer, where that is newer
--- a/coordination/balancer/ratelimit_test.go
+++ b/coordination/balancer/ratelimit_test.go
@@ -270,3 +270,17 @@
 		is.Equal(b.Limits()[0].PerSecond, -1.0)
 	})
 }
+
+// TestToldLimitsAreBounded guards against heartbeats that exceed their size, and are not sent,
+// because many endpoints name limits.
+func TestToldLimitsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const endpoints = 3 * maxToldLimits
+		f := newLimitedFleet(1, endpoints, endpoints, 5)
+		f.play(t.Context(), 4*time.Second, 400)
+		told := f.entries[0].Limits()
+		is.Equal(len(told), maxToldLimits)
+		is.True(slices.IsSortedFunc(told, func(a, b banyanplank.BackendLimit) int { return int(a.Age - b.Age) }))
+	})
+}
