--- a/coordination/balancer/doc.go
+++ b/coordination/balancer/doc.go
@@ -1,7 +1,7 @@
 // Package balancer balances calls over the endpoints of a service when several
 // entries send to them directly. It chooses the endpoint of each call, queues or
 // refuses calls when all endpoints are busy, limits the rate of endpoints in cold
-// start, ejects endpoints that fail, and enforces a retry budget.
+// start and of those that name a limit, ejects endpoints that fail, and enforces a retry budget.
 //
 //	lease, err := b.Acquire(ctx, balancer.Query{Service: "chat", PromptTokens: 800})
 //	...
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -84,12 +84,12 @@
 // those that watch the store, and serves an outdated configuration.
 func TestEntryWithoutHeartbeatsFollows(t *testing.T) {
 	tests := map[string]func(from, to banyanplank.DaemonID) bool{
-		"hears nobody":              func(_, to banyanplank.DaemonID) bool { return to == "a-3" },
-		"hears not the watching":    func(from, to banyanplank.DaemonID) bool { return to == "a-3" && from[2:] == "1" },
-		"hears its zone alone":      func(from, to banyanplank.DaemonID) bool { return to == "a-3" && from[0] != 'a' },
-		"hears other zones alone":   func(from, to banyanplank.DaemonID) bool { return to == "a-3" && from[0] == 'a' },
-		"heard by nobody":           func(from, _ banyanplank.DaemonID) bool { return from == "a-3" },
-		"nobody hears the watching": func(from, _ banyanplank.DaemonID) bool { return from[2:] == "1" },
+		"hears nobody":                  func(_, to banyanplank.DaemonID) bool { return to == "a-3" },
+		"hears no watching entry":       func(from, to banyanplank.DaemonID) bool { return to == "a-3" && from[2:] == "1" },
+		"hears only its own zone":       func(from, to banyanplank.DaemonID) bool { return to == "a-3" && from[0] != 'a' },
+		"hears only other zones":        func(from, to banyanplank.DaemonID) bool { return to == "a-3" && from[0] == 'a' },
+		"nobody hears it":               func(from, _ banyanplank.DaemonID) bool { return from == "a-3" },
+		"nobody hears a watching entry": func(from, _ banyanplank.DaemonID) bool { return from[2:] == "1" },
 	}
 	for name, cut := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/state/follower/follower_test.go
+++ b/state/follower/follower_test.go
@@ -373,11 +373,11 @@
 		unavailable  bool
 		calls, peeks int
 	}{
-		"a peer confirms":        {100 * time.Millisecond, false, 1, int(span / DefaultPollInterval)},
-		"nobody confirms":        {0, false, int(span/maxUnconfirmed) + 1, int(span / maxUnconfirmed)},
-		"a peer confirms late":   {5 * time.Second, false, int(span/maxUnconfirmed) + 1, int(span / maxUnconfirmed)},
-		"nobody is answered":     {0, true, 1, int(span / (idleMaxBackoff / 2))},
-		"a peer alone is served": {100 * time.Millisecond, true, 2, int(span / (idleMaxBackoff / 2))},
+		"a peer confirms":       {100 * time.Millisecond, false, 1, int(span / DefaultPollInterval)},
+		"nobody confirms":       {0, false, int(span/maxUnconfirmed) + 1, int(span / maxUnconfirmed)},
+		"a peer confirms late":  {5 * time.Second, false, int(span/maxUnconfirmed) + 1, int(span / maxUnconfirmed)},
+		"nobody is answered":    {0, true, 1, int(span / (idleMaxBackoff / 2))},
+		"only a peer is served": {100 * time.Millisecond, true, 2, int(span / (idleMaxBackoff / 2))},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
