--- /dev/null
+++ b/state/follower/cursor.go
@@ -0,0 +1,257 @@
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/panics"
+
+	"github.com/banyanplank/banyanplank"
+)
+
+// run calls the platform until ctx ends.
+func (c *cursor) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		var err error
+		// A panic, for example on an unexpected reply, fails only this call.
+		if caught := panics.Try(func() { err = c.fetch(ctx) }); caught != nil {
+			err = errors.Wrap(caught.AsError(), "follow topic")
+		}
+		if err != nil {
+			c.handleError(ctx, err)
+		}
+	}
+}
+
+// cursor is the position in one topic.
+type cursor struct {
+	*Follower
+	topic        banyanplank.Topic
+	hint         *hint
+	pollInterval time.Duration
+	isWatcher    func() bool
+	// needsConfirmation is set if changes must be known soon after they are made.
+	needsConfirmation bool
+	revision          banyanplank.Version
+	calledAt          time.Time
+	// hadChanges is set if the last watch returned changes.
+	hadChanges bool
+	isListed   bool
+	isLost     bool
+}
+
+// fetch makes one call and sends its result.
+func (c *cursor) fetch(ctx context.Context) (err error) {
+	watches := c.isWatcher()
+	if c.isListed && !watches {
+		c.awaitHint(ctx)
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+	}
+	if c.hadChanges {
+		c.hadChanges = false
+		if err := banyanplank.Sleep(ctx, batchDelay); err != nil {
+			return err
+		}
+	}
+	c.calledAt = time.Now()
+	wait := time.Duration(0)
+	if watches {
+		wait = max(0, c.watchTimeout-c.unconfirmedFor())
+	}
+	msg := TopicMsg{Topic: c.topic, IsFullList: !c.isListed, Resumed: c.isLost, RequestedAt: time.Now()}
+	isCurrent := true
+	switch {
+	case !c.isListed:
+		msg.Entries, msg.Revision, err = c.discovery.List(ctx, c.topic)
+		wait = 0
+	case !watches:
+		msg.Entries, msg.Revision, isCurrent, err = c.fetchCurrent(ctx)
+	default:
+		msg.Entries, msg.Revision, err = c.discovery.Changes(ctx, c.topic, c.revision, wait)
+	}
+	if err != nil {
+		return err
+	}
+	if isCurrent {
+		msg.ConfirmedAt = confirmationTime(c.calledAt, wait)
+		c.confirm(msg.ConfirmedAt)
+	}
+	c.hadChanges = watches && len(msg.Entries) > 0
+	c.revision, c.isListed, c.isLost = msg.Revision, true, false
+	c.markRecovered()
+	c.send(msg)
+	return nil
+}
+
+// confirmationTime returns a time at which a reply that has just arrived was current. A call
+// that waits for changes is answered with the state at the end of its wait at the latest.
+func confirmationTime(calledAt time.Time, wait time.Duration) (confirmedAt time.Time) {
+	if now := time.Now(); now.Before(calledAt.Add(wait)) {
+		return now
+	}
+	return calledAt.Add(wait)
+}
+
+// confirm records that the platform had no changes of the topic at a time beyond those known.
+func (c *cursor) confirm(confirmedAt time.Time) {
+	if !c.needsConfirmation {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.confirmations[c.topic] = confirmedAt
+}
+
+// unconfirmedFor returns the time since the platform last confirmed to this daemon itself
+// that there were no other changes.
+func (c *cursor) unconfirmedFor() (age time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return time.Since(c.confirmations[c.topic])
+}
+
+// isUnconfirmed reports whether neither this daemon nor a peer has heard from the platform
+// of late that there are no other changes.
+func (c *cursor) isUnconfirmed() (unconfirmed bool) {
+	if !c.needsConfirmation || c.unconfirmedFor() < maxUnconfirmed {
+		return false
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return time.Since(c.peerConfirmation) >= maxUnconfirmed
+}
+
+// fetchCurrent returns the changes at least up to the revision that peers are known to
+// have, and whether they are all changes at the time of the call. Without a confirmation of
+// late, or after failed calls, the cheap call shows first whether the platform answers at all.
+func (c *cursor) fetchCurrent(ctx context.Context) (entries []banyanplank.DiscoveryItem, revision banyanplank.Version, isCurrent bool, err error) {
+	unconfirmed := c.isUnconfirmed()
+	entries, revision, err = c.discovery.Peek(ctx, c.topic, c.revision)
+	if err == nil && !unconfirmed && revision >= max(c.revision, c.hintedRevision(c.hint)) {
+		return entries, revision, false, nil
+	}
+	if err != nil && (unconfirmed || c.isLost || errors.Is(err, banyanplank.ErrCompacted)) {
+		return nil, 0, false, err
+	}
+	entries, revision, err = c.discovery.Changes(ctx, c.topic, c.revision, 0)
+	return entries, revision, err == nil, err
+}
+
+// isDue reports whether to call the platform without a hint: at each poll interval, after a
+// backoff if the topic is lost, and when nobody confirms that there are no changes.
+func (c *cursor) isDue() (due bool) {
+	interval := c.pollInterval
+	if c.isLost {
+		interval = idleMaxBackoff / 2
+	}
+	return time.Since(c.calledAt) >= interval || c.isUnconfirmed()
+}
+
+// awaitHint waits until there are changes to fetch, a call is due, or this daemon has to watch.
+func (c *cursor) awaitHint(ctx context.Context) {
+	ticker := time.NewTicker(watchCheckInterval)
+	defer ticker.Stop()
+	for c.hintedRevision(c.hint) <= c.revision && !c.isDue() && !c.isWatcher() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-c.hint.updated:
+			// The loop checks ctx.
+			_ = banyanplank.Sleep(ctx, hintDelay/2+rand.N(hintDelay))
+		}
+	}
+}
+
+// handleError reports an error and backs off. Compacted history needs a new list, unless
+// a peer that confirms its state has the missing changes, and no backoff.
+func (c *cursor) handleError(ctx context.Context, err error) {
+	if errors.Is(err, banyanplank.ErrCompacted) {
+		c.isListed = !c.isWatcher() && !c.isUnconfirmed() && c.catchUp(ctx)
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if !c.isLost {
+		c.send(LostMsg{Topic: c.topic, Err: err})
+	}
+	c.isLost = true
+	c.catchUpIfBehind(ctx)
+	maxBackoff := c.maxBackoff
+	if c.isListed && !c.isWatcher() {
+		maxBackoff = idleMaxBackoff
+	} else if recovered := c.markLost(c); recovered != nil {
+		c.awaitRecovery(ctx, recovered)
+		return
+	}
+	// The loop in run checks ctx.
+	_ = banyanplank.Sleep(ctx, maxBackoff/2+rand.N(maxBackoff/2))
+}
+
+// markLost records that a topic is lost. It returns nil if c is the topic that probes
+// for recovery, and otherwise a channel that is closed on recovery.
+func (f *Follower) markLost(c *cursor) (recovered <-chan struct{}) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.prober == nil {
+		f.prober, f.recovered = c, make(chan struct{})
+	}
+	if f.prober == c {
+		return nil
+	}
+	return f.recovered
+}
+
+// markRecovered ends an outage. The other lost topics retry at once.
+func (f *Follower) markRecovered() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.prober != nil {
+		close(f.recovered)
+		f.prober, f.recovered = nil, nil
+	}
+}
+
+// awaitRecovery waits until another topic reaches the platform, but no longer than
+// [maxRecoveryWait].
+func (c *cursor) awaitRecovery(ctx context.Context, recovered <-chan struct{}) {
+	timer := time.NewTimer(maxRecoveryWait/2 + rand.N(maxRecoveryWait/2))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-recovered:
+	case <-timer.C:
+	}
+}
+
+// catchUpIfBehind catches up from a peer if hints report newer changes.
+func (c *cursor) catchUpIfBehind(ctx context.Context) {
+	if c.hintedRevision(c.hint) <= c.revision {
+		return
+	}
+	c.catchUp(ctx)
+}
+
+// catchUp fetches a topic from a peer and reports whether this daemon now knows it up to
+// the hinted revision.
+func (c *cursor) catchUp(ctx context.Context) (caughtUp bool) {
+	if c.peers == nil {
+		return false
+	}
+	calledAt := time.Now()
+	entries, revision, err := c.peers.FetchTopic(ctx, c.topic)
+	switch {
+	case err != nil:
+		c.send(LostMsg{Topic: c.topic, Err: err})
+		return false
+	case revision > c.revision:
+		c.revision, c.isListed = revision, true
+		c.send(TopicMsg{Topic: c.topic, Entries: entries, Revision: revision, IsFullList: true, Relayed: true, RequestedAt: calledAt})
+	}
+	return c.hintedRevision(c.hint) <= c.revision
+}
