--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -23,7 +23,9 @@
 	gap    time.Duration
 	// spoils is the share of the streams into which the server puts wrong bytes.
 	spoils float64
-	mutex  sync.Mutex
+	// onRun is called when a request reaches the server, if it is set.
+	onRun func()
+	mutex sync.Mutex
 	// ran holds the attempts that the server began to run, and finished those whose answer
 	// it wrote to the end.
 	ran      map[string]bool
@@ -36,7 +38,7 @@
 	if s.address, err = h.serve(s); err != nil {
 		return nil, err
 	}
-	h.register(ctx, id, map[string]any{"service": service, "address": s.address.String(), "slots": 32})
+	h.register(ctx, id, map[string]any{"service": service, "address": s.address.String(), "slots": 64})
 	return s, nil
 }
 
@@ -66,9 +68,12 @@
 	s.mutex.Lock()
 	s.ran[attempt] = true
 	s.mutex.Unlock()
+	if s.onRun != nil {
+		s.onRun()
+	}
 	s.h.recordf("server %s runs %s for tenant %q", s.id, attempt, request.Header.Get(wire.Tenant))
 	header.Set(wire.Seal, s.id)
-	header.Set(wire.Load, "1,0,32")
+	header.Set(wire.Load, "1,0,64")
 	if !strings.HasPrefix(request.URL.Path, "/talk/") && !strings.HasPrefix(request.URL.Path, "/note/") {
 		_ = banyanplank.Sleep(request.Context(), 15*time.Millisecond)
 		_, _ = io.WriteString(w, "answer to "+attempt+"\n")
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -22,8 +22,8 @@
 
 // The sizes and times of the case of planned stops.
 const (
-	stopClients = 120
-	stopServers = 16
+	stopClients = 240
+	stopServers = 32
 	// A stream has 60 events, one each 100 ms: the sheet has up to 69, with pauses of up to
 	// 120 ms and a time limit of 8 s.
 	stopEvents = 60
@@ -32,7 +32,7 @@
 	// keepFactor is for how many times of its lifetime a client keeps an answer of the
 	// directory. The pages allow three.
 	keepFactor = 3
-	stopCount  = 6
+	stopCount  = 7
 	// excusedTime is the time after the SIGTERM in which a request must be sent to be
 	// excused if its server still works in the last sixth of the grace period.
 	excusedTime = 3 * time.Second
@@ -122,7 +122,7 @@
 		}
 		c.setDirectory(i%len(entries), entries[i%len(entries)].directory)
 		// The rule asks for a time without any other impairment before the request.
-		if err := banyanplank.Sleep(ctx, 4*time.Second); err != nil {
+		if err := banyanplank.Sleep(ctx, 3*time.Second); err != nil {
 			return 0, err
 		}
 	}
