Arm a map for one pass only, and hold a pass only once

What callers saw: ranks computed a pass with different expert maps (MAP).

Cause: three places relied on "a late order is refused because its pass has begun". An idle group begins no pass. The leader held pass A without an answer, held a later pass B, armed all ranks for B and released it. Seconds later A was held. The leader took that for an interrupted switch and armed the same map for A; a rank counted as armed for whatever pass it was armed for, since the pass was dropped where the report is read. Orders to the other ranks were late: they switched at B. The same reasoning stood behind the release of a pass: one that is executed late could release the same pass when it was held again for another switch.

Change: reports have the pass of an armed map. A map is armed for one pass only, and a rank is ordered to hold a pass only once; the rank that holds is not one to which an order to hold or release may still be on its way. This is remembered by group and epoch for longer than a late order takes, also after the leadership is lost. A held pass is released once all ranks are armed for it, or none is and none can be. Where that isn't known, all ranks prepare the map in use under a new id, which voids earlier orders, and are armed with nothing. Passes that are held late are logged.

Figures: the simulation has lulls now.

Conclusion: an order needs no pass that begins to become harmless. A late release of another entry, for the same pass at the same rank within 12 s of a change of leaders in an idle group, stays possible in theory; the first holder is random by entry.

--- a/coordination/stepper/epoch.go
+++ b/coordination/stepper/epoch.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -26,7 +25,6 @@
 	demand     *demand
 	placement  placement
 	mapID      banyanplank.MapID
-	lastMapID  banyanplank.MapID
 	lastStep   uint64
 	lastStepAt time.Time
 	passTime   time.Duration
@@ -47,6 +45,7 @@
 	defer s.mutex.Unlock()
 	maps.DeleteFunc(s.states, func(key groupKey, _ *epochState) (removed bool) { return listed[key] == nil })
 	maps.DeleteFunc(s.nextRound, func(key groupKey, _ time.Time) (removed bool) { return listed[key] == nil })
+	s.dropFences(listed)
 }
 
 // dropAllGroups drops the state of all groups.
@@ -57,8 +56,8 @@
 }
 
 // updateState updates the state of a group from its latest reports and returns it. A new
-// epoch starts with an empty state but for the latest map id and the demand, which lasts
-// longer than the loss of a rank.
+// epoch starts with an empty state but for the demand, which lasts longer than the loss of
+// a rank.
 func (s *Stepper) updateState(key groupKey, pool *banyanplank.PoolSpec, g *group) (state *epochState) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -74,9 +73,6 @@
 	}
 	state.lastStep, state.lastStepAt = step, now
 	g.passTime, g.slowestPass, g.armTime = state.passTime, state.slowestPass, state.armTime
-	for _, r := range g.reports {
-		state.lastMapID = max(state.lastMapID, r.Map, r.Prepared, r.Armed)
-	}
 	return state
 }
 
@@ -86,7 +82,7 @@
 func newEpochState(epoch uint64, engine *banyanplank.EngineSpec, previous *epochState) (state *epochState) {
 	state = &epochState{epoch: epoch, slowestPass: max(defaultPassTime, engine.PassTime(float64(engine.Slots)))}
 	if previous != nil {
-		state.lastMapID, state.demand = previous.lastMapID, previous.demand
+		state.demand = previous.demand
 	}
 	if state.demand == nil || !state.demand.matches(engine.Layers, engine.Experts) {
 		state.demand = newDemand(engine.Layers, engine.Experts)
@@ -170,15 +166,3 @@
 	state.mapID = g.reports[0].Map
 	return err
 }
-
-// nextMapID returns a new map id and records it as the latest one.
-func (s *epochState) nextMapID() (id banyanplank.MapID) {
-	s.lastMapID = newMapID(s.lastMapID)
-	return s.lastMapID
-}
-
-// newMapID returns an id above last. Its random part makes a collision with an id of
-// another entry unlikely.
-func newMapID(last banyanplank.MapID) (id banyanplank.MapID) {
-	return (last>>mapIDRandomBits+1)<<mapIDRandomBits | banyanplank.MapID(rand.N(1<<mapIDRandomBits))
-}
--- a/coordination/stepper/group.go
+++ b/coordination/stepper/group.go
@@ -18,6 +18,7 @@
 	backends []*banyanplank.Backend
 	reports  []banyanplank.RankReport
 	epoch    uint64
+	fence    *fence
 	// passTime is the duration of the latest pass, and slowestPass that of the slowest
 	// recent one.
 	passTime    time.Duration
@@ -116,12 +117,12 @@
 }
 
 // isSuperseded reports whether a rank shows that another entry is switching maps too. The
-// round then ends, and the next one completes the pending switch. A pass that was held for
-// the order itself does not count.
+// round then ends, and the next one completes the pending switch. While maps are voided for
+// a held pass, other held passes do not count: they are released in turn.
 func isSuperseded(order banyanplank.RankOrder, r banyanplank.RankReport, pending bool) bool {
 	switch order.Kind {
 	case banyanplank.RankPrepare:
-		return r.Armed != 0 || (r.HeldPass != 0 && r.HeldPass != order.Pass)
+		return r.Armed != 0 || (r.HeldPass != 0 && order.Pass == 0)
 	case banyanplank.RankArm:
 		return pending && r.Prepared != order.Map
 	default:
--- a/coordination/stepper/round.go
+++ b/coordination/stepper/round.go
@@ -20,7 +20,7 @@
 	key := groupKey{pool.Name, ranks[0].Group}
 	state := s.updateState(key, pool, g)
 	s.reportSlow(key, state, g.slowEndpoints())
-	if err := g.completeHeldPasses(ctx); err != nil {
+	if err := s.completeHeldPasses(ctx, pool.Name, g); err != nil {
 		return err
 	}
 	state.updateLeaving(time.Now(), ranks)
@@ -38,6 +38,19 @@
 	return s.switchMap(ctx, pool.Name, state, g, p)
 }
 
+// completeHeldPasses releases the passes that are held, and reports it. A hold order that
+// got no answer may hold a pass seconds later.
+func (s *Stepper) completeHeldPasses(ctx context.Context, service banyanplank.ServiceName, g *group) (err error) {
+	held := slices.ContainsFunc(g.reports, func(r banyanplank.RankReport) bool { return r.HeldPass != 0 })
+	if !held {
+		return nil
+	}
+	began := time.Now()
+	err = g.completeHeldPasses(ctx)
+	s.onEvent(Event{Name: "held pass", Service: service, Epoch: g.epoch, Step: g.latestStep(), Duration: time.Since(began), Err: err})
+	return err
+}
+
 // readGroup reads the reports of the ranks and returns the group ordered by rank. The
 // error is errGroupChanged when they do not form one complete open group.
 func (s *Stepper) readGroup(ctx context.Context, ranks []banyanplank.Backend) (g *group, err error) {
@@ -70,21 +83,14 @@
 		return nil, errors.Wrapf(errGroupChanged, "%d of %d ranks answered", len(members), members[0].report.Size)
 	}
 	g.epoch = members[0].report.Epoch
+	g.fence = s.fenceOf(groupKey{ranks[0].Service, ranks[0].Group}, g.epoch)
 	return g, nil
 }
 
 // switchMap prepares a planned map at all ranks and switches to it.
 func (s *Stepper) switchMap(ctx context.Context, service banyanplank.ServiceName, state *epochState, g *group, p plan) (err error) {
 	began := time.Now()
-	id := state.nextMapID()
-	err = g.prepare(ctx, id, p.placement, 0)
-	for range maxPrepareRetries {
-		if !errors.Is(err, errUnanswered) {
-			break
-		}
-		id = state.nextMapID()
-		err = g.prepare(ctx, id, p.placement, 0)
-	}
+	id, err := g.prepareNew(ctx, p.placement, 0)
 	if err == nil {
 		err = g.activate(ctx, id)
 	}
--- a/coordination/stepper/simulation_test.go
+++ b/coordination/stepper/simulation_test.go
@@ -24,7 +24,9 @@
 	ranks    []*simRank
 	epoch    uint64
 	// closed is set while a rank is missing. The group then begins no pass.
-	closed   bool
+	closed bool
+	// idle is set while there are no requests. The group then begins no pass.
+	idle     bool
 	step     uint64
 	passTime time.Duration
 	// unansweredShare is the share of orders that get no answer and are executed seconds
@@ -121,6 +123,20 @@
 	return sg.passTime
 }
 
+// setIdle sets whether the group is idle.
+func (sg *simGroup) setIdle(idle bool) {
+	sg.mutex.Lock()
+	defer sg.mutex.Unlock()
+	sg.idle = idle
+}
+
+// passCount returns the number of passes that have begun.
+func (sg *simGroup) passCount() (count int) {
+	sg.mutex.Lock()
+	defer sg.mutex.Unlock()
+	return sg.passes
+}
+
 // setPassTime sets the duration of the passes from the next one on.
 func (sg *simGroup) setPassTime(passTime time.Duration) {
 	sg.mutex.Lock()
@@ -133,7 +149,7 @@
 	sg.mutex.Lock()
 	defer sg.mutex.Unlock()
 	next := sg.step + 1
-	if sg.closed {
+	if sg.closed || sg.idle {
 		return
 	}
 	for _, r := range sg.ranks {
@@ -206,7 +222,7 @@
 	}
 	return banyanplank.RankReport{
 		Group: "g", Epoch: sg.epoch, Rank: backend.Rank, Size: len(sg.ranks), Open: !sg.closed, Pass: sg.step,
-		Map: r.mapID, Prepared: prepared, Armed: r.armed, HeldPass: r.heldStep, Slowdown: 1,
+		Map: r.mapID, Prepared: prepared, Armed: r.armed, ArmedPass: r.armedStep, HeldPass: r.heldStep, Slowdown: 1,
 	}, nil
 }
 
--- a/coordination/stepper/stepper.go
+++ b/coordination/stepper/stepper.go
@@ -42,6 +42,7 @@
 	isStalled func(service banyanplank.ServiceName) bool
 	mutex     sync.Mutex
 	states    map[groupKey]*epochState
+	fences    map[groupKey]*fence
 	// inRound marks the groups whose round is running, and nextRound is the earliest time
 	// of the next round of a group.
 	inRound   map[groupKey]bool
@@ -58,6 +59,7 @@
 		onSlow:    func(banyanplank.ServiceName, []banyanplank.BackendID) {},
 		isStalled: func(banyanplank.ServiceName) bool { return false },
 		states:    make(map[groupKey]*epochState),
+		fences:    make(map[groupKey]*fence),
 		inRound:   make(map[groupKey]bool),
 		nextRound: make(map[groupKey]time.Time),
 	}
@@ -188,8 +190,6 @@
 	if err != nil || !g.isNextPassHeld() {
 		return err
 	}
-	began := time.Now()
-	err = g.completeSwitch(ctx)
-	s.onEvent(Event{Name: "held pass", Service: service, Epoch: g.epoch, Step: g.latestStep(), Duration: time.Since(began), Err: err})
+	_ = s.completeHeldPasses(ctx, service, g) // the event has the error
 	return nil
 }
--- a/coordination/stepper/switch.go
+++ b/coordination/stepper/switch.go
@@ -13,10 +13,9 @@
 
 // Timeouts and limits of a switch.
 const (
-	// prepareTimeout bounds the time in which all ranks load their weights. Orders that
-	// got no answer are executed up to 12 s later, according to the documentation of the
-	// platform.
-	prepareTimeout = 13 * time.Second
+	// prepareTimeout bounds the time in which all ranks load their weights, also those
+	// that execute the order late.
+	prepareTimeout = lateOrderTime
 	// maxPrepareRetries bounds the maps that are prepared one after the other because some
 	// rank gave no answer. A rank refuses to prepare the same map again until it has
 	// executed the first order.
@@ -46,8 +45,7 @@
 	armTimeout = 10 * time.Second
 	// releaseTimeout bounds the time in which the release of a pass is repeated.
 	releaseTimeout = 10 * time.Second
-	// releaseRetryPause is the time between a failed release order and the next one. A
-	// duplicate that is executed late has no effect because the pass has begun.
+	// releaseRetryPause is the time between a failed release order and the next one.
 	releaseRetryPause = 10 * time.Millisecond
 	// pollInterval is the time between two reads of the reports of ranks that have not
 	// executed an order. Loading an expert takes tens of milliseconds.
@@ -64,8 +62,8 @@
 	// 1/e. After a lull passes are as slow as before it, and the old map stays in use
 	// until the held pass is due.
 	slowestPassDecayTime = 10 * time.Second
-	// maxHoldTries bounds the hold orders that get no answer. One that is executed late
-	// has no effect because its pass has begun.
+	// maxHoldTries bounds the hold orders that get no answer. A pass that is held late is
+	// released in a later round.
 	maxHoldTries = 4
 )
 
@@ -79,11 +77,28 @@
 // errSuperseded means that a rank has since prepared another map.
 var errSuperseded = errors.New("a rank has prepared another map")
 
-// prepare makes all ranks load a map. heldStep is the pass held for the switch, or zero if
-// none is.
-func (g *group) prepare(ctx context.Context, id banyanplank.MapID, p placement, heldStep uint64) (err error) {
-	order := banyanplank.RankOrder{Kind: banyanplank.RankPrepare, Epoch: g.epoch, Map: id, Placement: p, Pass: heldStep}
-	err = g.orderUntilDone(ctx, order, prepareTimeout, func(r banyanplank.RankReport) bool { return r.Prepared != id })
+// prepareNew makes all ranks load a new map and returns its id. A map for which a rank gave
+// no answer is replaced by the next one where that is faster than waiting. heldPass is the
+// pass that is held meanwhile, or zero if none is.
+func (g *group) prepareNew(ctx context.Context, p placement, heldPass uint64) (id banyanplank.MapID, err error) {
+	for range maxPrepareRetries + 1 {
+		g.fence.observe(g.reports)
+		id = g.fence.createMap()
+		if err = g.prepare(ctx, id, p, heldPass); !errors.Is(err, errUnanswered) {
+			break
+		}
+	}
+	return id, err
+}
+
+// prepare makes all ranks load a map. heldPass is the pass that is held meanwhile, or zero
+// if none is. While a pass is held, a later map of another entry serves as well: it voids
+// the same maps.
+func (g *group) prepare(ctx context.Context, id banyanplank.MapID, p placement, heldPass uint64) (err error) {
+	order := banyanplank.RankOrder{Kind: banyanplank.RankPrepare, Epoch: g.epoch, Map: id, Placement: p, Pass: heldPass}
+	err = g.orderUntilDone(ctx, order, prepareTimeout, func(r banyanplank.RankReport) bool {
+		return r.Prepared < id || (heldPass == 0 && r.Prepared != id)
+	})
 	return errors.Wrapf(err, "prepare map %d", id)
 }
 
@@ -91,41 +106,18 @@
 func (g *group) activate(ctx context.Context, id banyanplank.MapID) (err error) {
 	defer func() { err = errors.Wrapf(err, "switch to map %d", id) }()
 	began := time.Now()
-	step, err := g.holdPass(ctx)
+	h, err := g.holdPass(ctx)
 	if err != nil {
 		// An order without an answer may have been executed.
 		return errors.CombineErrors(err, g.completeSwitch(ctx))
 	}
 	// Some ranks may be armed or may still receive a delayed order, so the pass is
 	// released only when all are armed.
-	if err := g.arm(ctx, id, step); err != nil {
+	if err := g.arm(ctx, id, h.pass); err != nil {
 		return err
 	}
 	g.armTime = time.Since(began)
-	return g.releasePass(ctx, g.backends[0], step)
-}
-
-// holdPass prevents the group from beginning a later pass and returns that pass.
-func (g *group) holdPass(ctx context.Context) (step uint64, err error) {
-	for try := range maxHoldTries {
-		if err := g.refresh(ctx); err != nil {
-			return 0, err
-		}
-		if g.reports[0].HeldPass > g.latestStep() {
-			return g.reports[0].HeldPass, nil
-		}
-		// A pass that has begun in the meantime cannot be held.
-		step = g.latestStep() + g.passesAhead() + uint64(try)
-		err = g.ranks.Order(ctx, g.backends[0], banyanplank.RankOrder{Kind: banyanplank.RankHold, Epoch: g.epoch, Pass: step})
-		g.ordersSent++
-		if err == nil {
-			return step, nil
-		}
-		if errors.Is(err, banyanplank.ErrUncertain) {
-			g.ordersUnanswered++
-		}
-	}
-	return 0, err
+	return g.releasePass(ctx, h)
 }
 
 // passesAhead returns the distance, in passes, of a pass to hold now.
@@ -163,108 +155,18 @@
 	return max(minPassesAhead, uint64(lead/max(minPassTime, passTime))+1)
 }
 
-// arm arms all ranks for a held pass.
-func (g *group) arm(ctx context.Context, id banyanplank.MapID, step uint64) (err error) {
-	order := banyanplank.RankOrder{Kind: banyanplank.RankArm, Epoch: g.epoch, Map: id, Pass: step}
-	err = g.orderUntilDone(ctx, order, armTimeout, func(r banyanplank.RankReport) bool { return r.Armed != id && r.Map != id })
-	return errors.Wrap(err, "arm")
-}
-
-// releasePass allows the group to begin a held pass. It repeats the order after
-// orderAnswerTimeout without waiting for its failure, since the whole group waits. A
-// duplicate has no effect because the pass has begun.
-func (g *group) releasePass(ctx context.Context, holder *banyanplank.Backend, step uint64) (err error) {
-	defer func() { err = errors.Wrapf(err, "release pass %d", step) }()
-	order := banyanplank.RankOrder{Kind: banyanplank.RankRelease, Epoch: g.epoch, Pass: step}
-	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
-	defer g.inFlight.Wait()
-	defer cancel()
-	answers := make(chan error, int(releaseTimeout/orderAnswerTimeout)+1)
-	for {
-		g.inFlight.Go(func() { answers <- g.ranks.Order(ctx, holder, order) })
-		next := time.NewTimer(orderAnswerTimeout)
-		select {
-		case err = <-answers:
-			next.Stop()
-			if err == nil || errors.Is(err, banyanplank.ErrConflict) {
-				return nil
-			}
-			if paused := banyanplank.Sleep(ctx, releaseRetryPause); paused != nil {
-				return errors.CombineErrors(err, paused)
-			}
-		case <-next.C:
-		case <-ctx.Done():
-			next.Stop()
-			return errors.CombineErrors(ctx.Err(), err)
-		}
-	}
-}
-
-// completeSwitch reads all reports and completes a switch that was interrupted between its
-// orders.
-func (g *group) completeSwitch(ctx context.Context) (err error) {
-	defer func() { err = errors.Wrap(err, "settle") }()
-	if err := g.refresh(ctx); err != nil {
-		return err
-	}
-	return g.completeHeldPasses(ctx)
-}
-
-// completeHeldPasses arms all ranks for each pass that is held according to the latest
-// reports, and releases it.
-func (g *group) completeHeldPasses(ctx context.Context) (err error) {
-	for i, r := range g.reports {
-		if r.HeldPass == 0 {
-			continue
-		}
-		if err := g.armHeldPass(ctx, r.HeldPass); err != nil {
-			return err
-		}
-		if err := g.releasePass(ctx, g.backends[i], r.HeldPass); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// armHeldPass arms all ranks for a held pass with the same map. Usually all have prepared
-// the map of the switch. Otherwise they get the map in use under a new id: a rank that has
-// prepared it refuses orders for the old id, so that none of them can be executed late.
-func (g *group) armHeldPass(ctx context.Context, step uint64) (err error) {
-	id := g.reports[0].Prepared
-	lastMapID := banyanplank.MapID(0)
-	for _, r := range g.reports {
-		if r.Armed != 0 {
-			id = r.Armed
-		}
-		lastMapID = max(lastMapID, r.Map, r.Prepared, r.Armed)
-	}
-	for _, r := range g.reports {
-		if id == 0 || (r.Prepared != id && r.Armed != id) {
-			return g.reissueCurrentMap(ctx, newMapID(lastMapID), step)
-		}
-	}
-	return g.arm(ctx, id, step)
-}
-
-// reissueCurrentMap arms all ranks for a held pass with the map in use, under a new id.
-func (g *group) reissueCurrentMap(ctx context.Context, id banyanplank.MapID, step uint64) (err error) {
-	defer func() { err = errors.Wrapf(err, "reissue the current map as map %d", id) }()
-	current, err := g.readPlacement(ctx)
-	if err != nil {
-		return err
-	}
-	for _, r := range g.reports {
-		if r.Armed != 0 {
-			if err := g.disarm(ctx, r.Armed); err != nil {
-				return err
-			}
-		}
-	}
-	if err := g.prepare(ctx, id, current, step); err != nil {
-		return err
-	}
-	return g.arm(ctx, id, step)
+// arm arms all ranks for a held pass. A map is armed for one pass only: an order that is
+// executed late could otherwise change the pass of a single rank.
+func (g *group) arm(ctx context.Context, id banyanplank.MapID, pass uint64) (err error) {
+	defer func() { err = errors.Wrap(err, "arm") }()
+	if !g.fence.bind(id, pass) {
+		return errSuperseded
+	}
+	order := banyanplank.RankOrder{Kind: banyanplank.RankArm, Epoch: g.epoch, Map: id, Pass: pass}
+	return g.orderUntilDone(ctx, order, armTimeout, func(r banyanplank.RankReport) bool {
+		isArmed := r.Armed == id && r.ArmedPass == pass
+		return !isArmed && r.Map != id
+	})
 }
 
 // disarm cancels the pending switch to a map at the ranks armed with it.
--- a/rank.go
+++ b/rank.go
@@ -15,11 +15,13 @@
 	Open bool
 	// Pass is the latest pass that has begun.
 	Pass uint64
-	// Map is in use, Prepared is loaded beside it, and Armed comes into use at
-	// its pass. Zero means none for Prepared and Armed.
-	Map      MapID
-	Prepared MapID
-	Armed    MapID
+	// Map is in use, Prepared is loaded beside it, and Armed comes into use as
+	// ArmedPass begins. Zero means none for Prepared and Armed. An armed map
+	// stays prepared until it comes into use.
+	Map       MapID
+	Prepared  MapID
+	Armed     MapID
+	ArmedPass uint64
 	// HeldPass is the pass that is held back until released. Zero means none.
 	HeldPass uint64
 	// Slowdown is above 1 for a slow rank.
