Take blank lines between events as part of the next event

What callers saw: a request whose stream had one blank line too many behind an event was never answered, not at its time limit either, and took a core for ever, also after its caller had left (CONFIG). Any endpoint could do that.

Cause: the whole events of a buffer were found from its end and then taken from its front, each by the ends "\n\n" and "\n\r\n". In "\n\n\n" the last match ends behind the third newline and the first one behind the second. The rest, "\n", has no end, the next event was empty, and the loop took it again and again. It looked neither at the time limit nor at the caller.

Change: one function finds the end of an event, by lines, and events are taken from the front only. Blank lines before an event belong to it, so that they don't count as an event or as progress: endless ones end like any partial event. At the end of the stream the rest may be blank.

Conclusion: each step takes an event of at least one line, or ends.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"bytes"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -126,10 +124,12 @@
 			switch {
 			case err != nil:
 				return err
-			case len(rest) > 0:
+			case !isBlank(rest):
 				return errors.Newf("response ends within an event, after %d bytes of it", len(rest))
 			case f.stream.events == earlierEvents && !exchange.IsFramed():
 				return errors.New("connection ends before the first event of the response")
+			case len(rest) > 0:
+				return f.writeToCaller(exchange, rest)
 			}
 			return nil
 		}
@@ -154,59 +154,41 @@
 	return append(make([]byte, 0, 2*cap(buffer)), buffer...), nil
 }
 
-// eventEnds are the ends of an event: a blank line, after a line that ends with LF or CRLF.
-var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
-
-// firstEventEnd returns the length of the first whole event in data, or 0 if there is none.
-func firstEventEnd(data []byte) (end int) {
-	for _, pattern := range eventEnds {
-		if i := bytes.Index(data, pattern); i >= 0 && (end == 0 || i+len(pattern) < end) {
-			end = i + len(pattern)
-		}
-	}
-	return end
-}
-
-// lastEventEnd returns the length of all whole events in data.
-func lastEventEnd(data []byte) (end int) {
-	for _, pattern := range eventEnds {
-		if i := bytes.LastIndex(data, pattern); i >= 0 {
-			end = max(end, i+len(pattern))
-		}
-	}
-	return end
-}
-
 // writeEvents writes the whole events in data to the caller and returns the remaining
 // bytes.
 func (f *forwarder) writeEvents(exchange *requester.Exchange, data []byte) (rest []byte, err error) {
-	end := lastEventEnd(data)
-	if end == 0 {
-		return data, nil
-	}
-	events, rest := data[:end], data[end:]
-	events = f.filterEvents(events)
-	if len(events) == 0 {
+	fresh, rest := f.filterEvents(data)
+	if len(fresh) == 0 {
 		return rest, nil
 	}
+	f.recordEvents()
+	return rest, f.writeToCaller(exchange, fresh)
+}
+
+// writeToCaller writes a part of the stream to the caller at once.
+func (f *forwarder) writeToCaller(exchange *requester.Exchange, part []byte) (err error) {
 	f.ensureHeader(exchange)
-	if _, err := f.writer.Write(events); err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "write to caller"), errCallerConnection)
+	_, err = f.writer.Write(part)
+	if err == nil {
+		err = http.NewResponseController(f.writer).Flush()
 	}
-	if err := http.NewResponseController(f.writer).Flush(); err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "write to caller"), errCallerConnection)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "write to caller"), errCallerConnection)
 	}
-	return rest, nil
+	return nil
 }
 
-// filterEvents returns the events that the caller does not have yet, and records
-// their ids and times.
-func (f *forwarder) filterEvents(events []byte) (fresh []byte) {
-	now := time.Now()
-	for len(events) > 0 {
-		end := firstEventEnd(events)
-		event := events[:end]
-		events = events[end:]
+// filterEvents returns the whole events in data that the caller does not have yet, and the
+// bytes after the last whole event. It records the ids of the events.
+func (f *forwarder) filterEvents(data []byte) (fresh, rest []byte) {
+	rest = data
+	for {
+		end := eventEnd(rest)
+		if end == 0 {
+			return fresh, rest
+		}
+		event := rest[:end]
+		rest = rest[end:]
 		id := eventID(event)
 		if id != "" && isSeen(id, f.stream.lastID) {
 			continue
@@ -217,9 +199,11 @@
 		fresh = append(fresh, event...)
 		f.stream.events++
 	}
-	if len(fresh) == 0 {
-		return nil
-	}
+}
+
+// recordEvents records that events have arrived.
+func (f *forwarder) recordEvents() {
+	now := time.Now()
 	if f.stream.lastEventAt.IsZero() {
 		f.lease.RecordFirstEvent()
 		f.recordAnswered()
@@ -229,25 +213,4 @@
 		f.lease.RecordEvent(gap)
 	}
 	f.stream.lastEventAt = now
-	return fresh
-}
-
-// idPrefix starts the line with the id of an event.
-var idPrefix = []byte("id:")
-
-// eventID returns the id of an event, or "" if it has none.
-func eventID(event []byte) (id string) {
-	for line := range bytes.Lines(event) {
-		if rest, ok := bytes.CutPrefix(line, idPrefix); ok {
-			return string(bytes.TrimSpace(rest))
-		}
-	}
-	return ""
-}
-
-// isSeen reports whether id is not greater than last. The ids of a stream increase.
-func isSeen(id, last string) bool {
-	a, errA := strconv.ParseUint(id, 10, 64)
-	b, errB := strconv.ParseUint(last, 10, 64)
-	return errA == nil && errB == nil && a <= b
 }
