Refuse calls that a stopping entry may have to cut off

What callers saw: in a planned stop, an entry took requests until half of its grace period, passed them on, and closed all connections at 95% of it, without an answer (LOST). Among them were calls that must not be repeated, if their time limit is long.

Cause: three times didn't fit together. Callers have the entry's address for up to three times the life of a directory response (1 s), and directories of other zones named it for up to 0.72 s after the signal, the time between two heartbeats to them. The entry took what came within 4 s of 8 s, whatever it was, though 3.6 s were left for it. What still ran at the end was cut like a crash.

Change: a stopping entry refuses a call at once, as not run, unless its deadline lies before the end. A call that may be repeated is also accepted in the first third of the grace if calls of its route took no longer of late than is left. The check comes again after a wait for a slot, before each first send. Attempts elsewhere count the end as a deadline. What still runs at 92% of the grace is canceled and answered: 502 if it may have run, 503 if not; begun streams are visibly cut. Peers learn of the stop by heartbeats that are sent at once to all zones.

Conclusion: a call begins where it can be expected to end, and must begin only where it is sure to, if it must not be repeated. A fresh entry knows no durations: its first stop may cut streams that it took in the first third, as the rule allows.

--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -88,6 +88,8 @@
 		crashTracker: suspecter.NewCrashTracker(suspecter.WithEventHandler(crashLogger(logger, counters)),
 			suspecter.WithUrgentHandler(d.sendUrgently), suspecter.WithSuspectHandler(unanswered.markChanged)),
 		unanswered: unanswered,
+		calls:      newCallSet(),
+		durations:  newCallDurations(),
 		probeQueue: make(chan *banyanplank.Backend, maxQueuedProbes),
 		codec:      codec,
 		logger:     logger,
@@ -124,6 +126,9 @@
 	if previous == snapshot {
 		return
 	}
+	if previous.Ready && !snapshot.Ready {
+		d.announceUrgently()
+	}
 	fleet := balancer.Fleet{Backends: snapshot.Backends, ZonesOut: snapshot.ZonesOut, Entries: snapshot.AliveEntries, KnownEntries: snapshot.KnownEntries, EntryIDs: snapshot.AliveIDs}
 	if snapshot.Router != nil {
 		table := snapshot.Router.Table()
--- a/gateway/forwarder.go
+++ b/gateway/forwarder.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,6 +59,8 @@
 	// cancelCause cancels ctx with a cause.
 	cancelCause context.CancelCauseFunc
 	lease       *balancer.Lease
+	// isStopped is set when the call is canceled because the entry stops.
+	isStopped atomic.Bool
 	// sends counts the endpoints that may have read the call, and tried lists all
 	// endpoints that were chosen.
 	sends          int
@@ -114,7 +117,7 @@
 // run sends the call to endpoints until it has a response or may not be retried.
 func (f *forwarder) run() {
 	for {
-		err := f.refuseCrashing()
+		err := f.refuseAttempt()
 		if err == nil {
 			err = f.acquireLease()
 		}
@@ -128,6 +131,14 @@
 	}
 }
 
+// refuseAttempt returns a refusal if the call must not be sent to an endpoint.
+func (f *forwarder) refuseAttempt() (err error) {
+	if err := f.refuseCrashing(); err != nil {
+		return err
+	}
+	return f.refuseWhileStopping()
+}
+
 // acquireLease waits for a slot at an endpoint.
 func (f *forwarder) acquireLease() (err error) {
 	began := time.Now()
@@ -143,8 +154,9 @@
 	if err != nil {
 		return err
 	}
-	// Another endpoint may have crashed on the request while the call waited.
-	if err = f.refuseCrashing(); err == nil && f.needsTrial {
+	// Another endpoint may have crashed on the request, or the entry may have begun to
+	// stop, while the call waited.
+	if err = f.refuseAttempt(); err == nil && f.needsTrial {
 		err = f.claimTrial()
 	}
 	if err != nil {
@@ -254,8 +266,8 @@
 }
 
 // hasTimeForAttempt reports whether another attempt could still succeed before the
-// deadline.
-func (f *forwarder) hasTimeForAttempt() bool { return time.Until(f.deadline) > f.latencyGoal()/4 }
+// deadline, or before the entry stops.
+func (f *forwarder) hasTimeForAttempt() bool { return f.timeLeft() > f.latencyGoal()/4 }
 
 // deliverResponse buffers a response and forwards it once it is complete. It returns
 // true when the call has ended.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,12 +40,16 @@
 	crashTracker *suspecter.CrashTracker
 	unanswered   *unansweredCalls
 	// probeQueue holds the endpoints to probe.
-	probeQueue  chan *banyanplank.Backend
-	codec       banyanplank.HeaderCodec
-	logger      *log.Logger
-	counters    *counters
-	buffers     *bufferBudget
-	draining    atomic.Bool
+	probeQueue chan *banyanplank.Backend
+	codec      banyanplank.HeaderCodec
+	logger     *log.Logger
+	counters   *counters
+	buffers    *bufferBudget
+	calls      *callSet
+	durations  *callDurations
+	draining   atomic.Bool
+	// stop is set once the entry stops.
+	stop        atomic.Pointer[stopTimes]
 	activeCalls atomic.Int64
 }
 
@@ -65,7 +69,12 @@
 		return
 	}
 	defer f.cancel()
+	g.calls.add(f)
+	defer g.calls.remove(f)
 	f.run()
+	if f.outcome() == "served" {
+		g.durations.record(f.route.Name, time.Since(f.arrivedAt))
+	}
 }
 
 // httpError is an error response of the entry itself. Its status means that the call
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -30,11 +30,15 @@
 // with urgent news, because some may be lost.
 const urgentHeartbeats = 3
 
-// sendUrgently sends a heartbeat to all entries at once, and the next ones too. The
-// findings that it carries are also to be saved.
-func (d *Daemon) sendUrgently() {
+// announceUrgently sends a heartbeat to all entries at once, and the next ones too.
+func (d *Daemon) announceUrgently() {
 	d.urgentBeats.Store(urgentHeartbeats)
 	d.beater.SendNow()
+}
+
+// sendUrgently announces findings at once. They are also to be saved.
+func (d *Daemon) sendUrgently() {
+	d.announceUrgently()
 	d.markFindingsChanged()
 }
 
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -20,7 +20,9 @@
 	sent := !errors.As(err, &sendErr) || sendErr.Sent
 	f.result.detail = err.Error()
 	if !sent {
-		f.reportUnreached(err)
+		if !f.isStopped.Load() {
+			f.reportUnreached(err)
+		}
 		return f.handleUndelivered(balancer.NotSent)
 	}
 	f.sends++
@@ -64,6 +66,11 @@
 		f.result.reason = "caller left"
 		return true
 	}
+	if f.isStopped.Load() {
+		f.finishLease(balancer.Abandoned)
+		f.endWithError(&banyanplank.Refusal{Outcome: banyanplank.OutcomeUnknown, Reason: banyanplank.ReasonLeaving, Detail: errStopping.Error()})
+		return true
+	}
 	if cause := context.Cause(f.ctx); errors.Is(cause, errSuspect) {
 		f.finishLease(balancer.Abandoned)
 		f.endWithError(&banyanplank.Refusal{Outcome: banyanplank.OutcomeUnknown, Reason: banyanplank.ReasonSuspect, Detail: cause.Error()})
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -36,15 +36,6 @@
 // only remove stale entries.
 const memberPollInterval = 20 * time.Second
 
-// Phases of a graceful shutdown.
-const (
-	// acceptShare is the fraction of the grace period during which a stopping entry
-	// accepts new calls, because callers still cache the last directory response.
-	acceptShare = 0.5
-	// finishShare is the fraction of the grace period by which all calls must end.
-	finishShare = 0.95
-)
-
 // Run serves until ctx ends, then drains and stops. It returns the error of a
 // listener that failed, or of another part of the daemon.
 func (d *Daemon) Run(ctx context.Context) (err error) {
@@ -130,26 +121,35 @@
 	return servers, nil
 }
 
-// drain stops gracefully: it removes the entry from the directory, serves callers
-// that still have its address, and waits for running calls to end.
+// drain stops gracefully: it removes the entry from the directory, serves callers that still
+// have its address, and waits for running calls to end.
 func (d *Daemon) drain(ctx context.Context, servers []*http.Server) {
-	began := time.Now()
 	grace := time.Duration(d.settings.Limits.Grace)
+	times := newStopTimes(time.Now(), grace)
 	d.logger.Info().Int64("running", d.gateway.activeCalls.Load()).Dur("grace", grace).Msg("drain")
-	d.gateway.draining.Store(true)
+	d.gateway.beginStop(times)
 	d.loop.Send(ctx, surveyor.DrainMsg{})
-	select {
-	case <-ctx.Done():
-	case <-time.After(time.Duration(acceptShare * float64(grace))):
-	}
-	shutdownCtx, cancel := context.WithDeadline(ctx, began.Add(time.Duration(finishShare*float64(grace))))
-	defer cancel()
-	if err := servers[0].Shutdown(shutdownCtx); err != nil {
-		d.logger.Warn().Err(err).Int64("running", d.gateway.activeCalls.Load()).Msg("calls cut by stop")
-	}
+	waitUntil(ctx, times.closeAt)
+	d.shutdown(ctx, servers[0], times)
 	for _, s := range servers {
 		if err := s.Close(); err != nil {
 			d.logger.Warn().Err(err).Msg("close server")
 		}
 	}
 }
+
+// shutdown closes the address for callers and waits for running calls. Those that don't end
+// in time are answered as failed.
+func (d *Daemon) shutdown(ctx context.Context, server *http.Server, times *stopTimes) {
+	answerCtx, cancel := context.WithDeadline(ctx, times.answerBy)
+	defer cancel()
+	if server.Shutdown(answerCtx) == nil {
+		return
+	}
+	d.logger.Warn().Int("running", d.gateway.calls.stopAll()).Msg("calls ended by stop")
+	finishCtx, cancel := context.WithDeadline(ctx, times.finishBy)
+	defer cancel()
+	if err := server.Shutdown(finishCtx); err != nil {
+		d.logger.Warn().Err(err).Int64("running", d.gateway.activeCalls.Load()).Msg("calls cut by stop")
+	}
+}
--- a/gateway/testgateway_test.go
+++ b/gateway/testgateway_test.go
@@ -161,6 +161,8 @@
 		requester:    requester.New(testCodec{}),
 		crashTracker: suspecter.NewCrashTracker(suspecter.WithSuspectHandler(unanswered.markChanged)),
 		unanswered:   unanswered,
+		calls:        newCallSet(),
+		durations:    newCallDurations(),
 		probeQueue:   make(chan *banyanplank.Backend, maxQueuedProbes),
 		codec:        testCodec{},
 		logger:       logger.New(g.logs),
