Give missing endpoints time to return only after a real outage

What callers saw: an endpoint whose entry was removed from the store got requests for 2.1 to 2.9 s more, if the store had cut off a waiting watch shortly before (DRAIN). It may end at any time then.

Cause: an endpoint that is no longer listed has 2 s to register again if it can have lapsed while the platform was away. An outage was assumed as soon as one topic counted as lost at one tick, and a watch that is cut off counts as lost until the next call, though the platform has answered all the while. An endpoint lapses only after three missing heartbeats.

Change: the model keeps when the platform last answered this entry, on any topic, or another one, according to its heartbeats. Endpoints get time to return only if that is at least two of their heartbeats ago (`limits.beat`, from the platform's settings), and until 2 s after the first answer, whichever reply shows it. The time for which this process was paused doesn't count.

Conclusion: what one cut watch still reaches is who watches: the next entry of the zone takes over until the watch is back, which costs a few calls and changes no decision on endpoints.

--- a/coordination/surveyor/members.go
+++ b/coordination/surveyor/members.go
@@ -72,6 +72,9 @@
 		return false
 	}
 	s.heardAt = now
+	if beat.ConfirmedAge > 0 {
+		m.outage.recordReached(now.Add(-beat.ConfirmedAge))
+	}
 	changed = !s.isAlive || s.member.Incarnation != previous || s.isReady != beat.Ready || s.discoveryLost != beat.CannotFollow || s.isWatcher != beat.IsWatcher
 	if !s.isAlive {
 		m.logEvent(Note{Event: "peer heard", Topic: banyanplank.TopicMembers, Key: string(beat.From)})
--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -25,8 +25,8 @@
 	// remoteHeartbeatMaxAge is the same for entries of other availability zones, which
 	// send fewer heartbeats across zones.
 	remoteHeartbeatMaxAge = 2200 * time.Millisecond
-	// reregisterGrace is the time in which an endpoint must register again if it is no
-	// longer listed after an outage of the platform's store.
+	// reregisterGrace is the time after an outage of the platform's store in which an endpoint
+	// must register again.
 	reregisterGrace = 2 * time.Second
 	// memberForgetAge is the time without heartbeats after which an entry is removed
 	// from the platform's list.
@@ -104,16 +104,15 @@
 
 // Model is the state of an entry's control loop. Create it with [NewModel].
 type Model struct {
-	self     banyanplank.Member
-	router   *router.Router
-	backends map[banyanplank.BackendID]*backendState
-	zonesOut map[banyanplank.Zone]bool
-	members  map[banyanplank.DaemonID]*membership
-	topics   map[banyanplank.Topic]*topicState
-	draining bool
-	// lastUnreached is when no watching entry could last reach the platform.
-	lastUnreached time.Time
-	startedAt     time.Time
+	self      banyanplank.Member
+	router    *router.Router
+	backends  map[banyanplank.BackendID]*backendState
+	zonesOut  map[banyanplank.Zone]bool
+	members   map[banyanplank.DaemonID]*membership
+	topics    map[banyanplank.Topic]*topicState
+	draining  bool
+	outage    outage
+	startedAt time.Time
 	// takeoverSince is the time since which this entry has to take over from entries of
 	// its zone that can't reach the platform; zero if it doesn't.
 	takeoverSince time.Time
@@ -160,15 +159,28 @@
 	confirmedAt time.Time
 }
 
+// Option configures a [Model].
+type Option func(*Model)
+
+// WithEndpointHeartbeat sets the time between two heartbeats of an endpoint. The platform drops
+// an endpoint after three without one. The default is [DefaultEndpointHeartbeat].
+func WithEndpointHeartbeat(interval time.Duration) Option {
+	return func(m *Model) { m.outage.minimum = lapseHeartbeats * interval }
+}
+
 // NewModel returns a model of the entry self without any known state.
-func NewModel(self banyanplank.Member) *Model {
+func NewModel(self banyanplank.Member, options ...Option) *Model {
 	m := &Model{
+		outage:   outage{minimum: lapseHeartbeats * DefaultEndpointHeartbeat},
 		self:     self,
 		backends: make(map[banyanplank.BackendID]*backendState),
 		zonesOut: make(map[banyanplank.Zone]bool),
 		members:  make(map[banyanplank.DaemonID]*membership),
 		topics:   make(map[banyanplank.Topic]*topicState),
 	}
+	for _, option := range options {
+		option(m)
+	}
 	m.snapshot = &Snapshot{}
 	m.publish(false)
 	return m
@@ -183,6 +195,7 @@
 // Update implements [banyanplank.Model].
 func (m *Model) Update(now time.Time, msg banyanplank.Msg) (model banyanplank.Model, commands []banyanplank.Command) {
 	m.commands, m.notes = nil, nil
+	m.outage.recordUpdate(now)
 	changed := true
 	switch msg := msg.(type) {
 	case follower.TopicMsg:
@@ -247,6 +260,9 @@
 
 // applyTopic applies the new entries of a topic, and ignores older revisions.
 func (m *Model) applyTopic(now time.Time, msg follower.TopicMsg) (changed bool) {
+	if !msg.Relayed {
+		m.outage.recordReached(now)
+	}
 	t := m.topic(msg.Topic)
 	if msg.Revision < t.revision {
 		return false
@@ -260,12 +276,11 @@
 		t.isLost = false
 		m.logEvent(Note{Event: "topic regained", Topic: msg.Topic, Revision: msg.Revision})
 	}
-	hasGrace := now.Sub(m.lastUnreached) < reregisterGrace
 	switch msg.Topic {
 	case banyanplank.TopicRouting:
 		m.applyRouting(now, msg)
 	case banyanplank.TopicBackends:
-		m.applyBackends(now, msg, hasGrace)
+		m.applyBackends(now, msg)
 	case banyanplank.TopicZonesOut:
 		m.applyZonesOut(now, msg)
 	case banyanplank.TopicMembers:
@@ -296,7 +311,7 @@
 // heartbeats as silent, and maintains the list of members.
 func (m *Model) expire(now time.Time) (changed bool) {
 	for id, b := range m.backends {
-		if !b.missingSince.IsZero() && now.Sub(b.missingSince) >= reregisterGrace {
+		if !b.missingSince.IsZero() && !m.outage.hasGrace(now) {
 			delete(m.backends, id)
 			changed = true
 			m.logEvent(Note{Event: "endpoint gone", Topic: banyanplank.TopicBackends, Key: string(id), Age: now.Sub(b.missingSince)})
@@ -309,10 +324,6 @@
 			m.logEvent(Note{Event: "peer silent", Topic: banyanplank.TopicMembers, Key: string(id), Age: now.Sub(s.heardAt)})
 		}
 	}
-	reached := m.snapshot.IsWatcher && !m.snapshot.DiscoveryLost
-	if m.topic(banyanplank.TopicBackends).isListed && !reached && !m.isPlatformReached(now) {
-		m.lastUnreached = now
-	}
 	m.maintainMembers(now)
 	return changed
 }
--- a/coordination/surveyor/topics.go
+++ b/coordination/surveyor/topics.go
@@ -9,16 +9,15 @@
 )
 
 // applyBackends applies changes of the list of endpoints. An endpoint that is no longer
-// listed right after a time when no entry could reach the platform gets a grace period
-// to register again. If any entry could reach it, registrations were renewed meanwhile,
-// and a missing endpoint has left.
-func (m *Model) applyBackends(now time.Time, msg follower.TopicMsg, hasGrace bool) {
+// listed right after an outage of the platform, in which it can have lapsed, gets a grace
+// period to register again. Otherwise it has left.
+func (m *Model) applyBackends(now time.Time, msg follower.TopicMsg) {
 	present := make(map[banyanplank.BackendID]bool, len(msg.Entries))
 	for _, e := range msg.Entries {
 		id := banyanplank.BackendID(e.Key)
 		backend, ok := e.Value.(banyanplank.Backend)
 		if !ok {
-			m.removeBackend(now, id, msg.Revision, hasGrace)
+			m.removeBackend(now, id, msg.Revision)
 			continue
 		}
 		present[id] = true
@@ -29,7 +28,7 @@
 	}
 	for id := range m.backends {
 		if !present[id] {
-			m.removeBackend(now, id, msg.Revision, hasGrace)
+			m.removeBackend(now, id, msg.Revision)
 		}
 	}
 }
@@ -62,12 +61,12 @@
 }
 
 // removeBackend removes an endpoint, or marks it as missing if it has a grace period.
-func (m *Model) removeBackend(now time.Time, id banyanplank.BackendID, revision banyanplank.Version, hasGrace bool) {
+func (m *Model) removeBackend(now time.Time, id banyanplank.BackendID, revision banyanplank.Version) {
 	b := m.backends[id]
 	if b == nil {
 		return
 	}
-	if hasGrace && !b.backend.Leaving {
+	if m.outage.hasGrace(now) && !b.backend.Leaving {
 		if b.missingSince.IsZero() {
 			b.missingSince = now
 			m.logEvent(Note{Event: "endpoint missing", Topic: banyanplank.TopicBackends, Key: string(id), Revision: revision})
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -76,7 +76,11 @@
 	}
 	limits := settings.Limits
 	d.balancer = balancer.New(balancer.WithEntry(settings.Name), balancer.WithZone(settings.Zone), balancer.WithRetryBudget(limits.Share, limits.Slack, time.Duration(limits.Span)))
-	model := surveyor.NewModel(d.self)
+	var options []surveyor.Option
+	if limits.Beat > 0 {
+		options = append(options, surveyor.WithEndpointHeartbeat(time.Duration(limits.Beat)))
+	}
+	model := surveyor.NewModel(d.self, options...)
 	d.snapshot.Store(model.Snapshot())
 	counters := newCounters()
 	d.beater = beater.New(settings.Listen.Peer, d.composeHeartbeats, d.handleHeartbeat, d.logHeartbeatError)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -54,6 +54,8 @@
 	Span  banyanplank.Duration `toml:"span"`
 	// Grace is the time from SIGTERM to the exit.
 	Grace banyanplank.Duration `toml:"grace"`
+	// Beat is the time between two heartbeats of an endpoint. Optional.
+	Beat banyanplank.Duration `toml:"beat"`
 	// Keep is the longest time for which callers cache a directory response.
 	Keep banyanplank.Duration `toml:"keep"`
 }
@@ -128,6 +130,7 @@
 		{"limits.slack", s.Limits.Slack >= 0, "want a number of at least 0"},
 		{"limits.span", s.Limits.Span > 0, "want a time above 0s"},
 		{"limits.grace", s.Limits.Grace > 0, "want a time above 0s"},
+		{"limits.beat", s.Limits.Beat >= 0, "want a time, or 0s for 1.2s"},
 		{"limits.keep", s.Limits.Keep > 0, "want a time above 0s"},
 	}
 }
