Close the connection of a caller that has left, without an answer

Cause: the HTTP server cancels a request's context when the caller's side is closed, and the entry then returned without an answer. The server makes a whole answer of that.

Change: such a call aborts the connection.

--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -63,8 +63,7 @@
 	f.result.detail = err.Error()
 	if f.request.Context().Err() != nil {
 		f.finishLease(balancer.Abandoned)
-		f.result.reason = "caller left"
-		return true
+		f.abandon()
 	}
 	if f.isStopped.Load() {
 		f.finishLease(balancer.Abandoned)
@@ -125,6 +124,13 @@
 	f.writeError(err)
 }
 
+// abandon ends a call whose caller has left. It closes the connection: a caller that has
+// closed only its sending side reads on, and the HTTP server would complete the response.
+func (f *forwarder) abandon() {
+	f.result.reason = "caller left"
+	panic(http.ErrAbortHandler)
+}
+
 // writeError writes the error response of a call that no endpoint answered. Only 4xx
 // and 503 mean that the call has not run.
 func (f *forwarder) writeError(err error) {
@@ -135,8 +141,7 @@
 	case errors.As(err, &entryError):
 		status, retryAfter = entryError.status, entryError.retryAfter
 	case f.request.Context().Err() != nil:
-		f.result.reason = "caller left"
-		return
+		f.abandon()
 	case errors.As(err, &refusal):
 		f.result.reason = string(refusal.Reason)
 		if refusal.Outcome == banyanplank.NotRun && !f.mayHaveRun {
