Require a key as long as the configuration has client accounts

The measure against a leaked key opened all routes.

Cause: the routing table has one account for each key, and "no key is known" was taken for "the configuration has no client accounts". An account without keys left no trace in the table.

Change: the table says whether the configuration has client accounts. Tables relayed by daemons of an older build lack that field and are read as before.

Conclusion: a configuration whose list of client accounts is empty needs no key, as one without the list.

--- a/coordination/router/router.go
+++ b/coordination/router/router.go
@@ -59,4 +59,4 @@
 }
 
 // RequiresKey reports whether calls need a key.
-func (r *Router) RequiresKey() bool { return len(r.accounts) > 0 }
+func (r *Router) RequiresKey() bool { return r.table.NeedsKey || len(r.accounts) > 0 }
--- a/encoding_test.go
+++ b/encoding_test.go
@@ -22,7 +22,7 @@
 	}{
 		"member":  {banyanplank.Member{}, "Caller Group ID Incarnation Instance Peer Rank Role Service State Zone"},
 		"backend": {banyanplank.Backend{}, "Address Born Cold Group ID Leaving Rank Service Slots Zone"},
-		"table":   {banyanplank.RoutingTable{}, "Accounts Limits Pools Routes Version"},
+		"table":   {banyanplank.RoutingTable{}, "Accounts Limits NeedsKey Pools Routes Version"},
 		"pool":    {banyanplank.PoolSpec{}, "ColdRate Connections Engine HealthPath Name"},
 		"engine":  {banyanplank.EngineSpec{}, "Capacity ExpertShare Experts Layers LinkRate PerSequence Places ReadRate Slots Spare Step Stride Weight"},
 		"route":   {banyanplank.RouteSpec{}, "Anonymous Attempts Gap Goal Host Kind Name Prefix Priority Resumable Splits Timeout"},
--- a/route.go
+++ b/route.go
@@ -140,6 +140,9 @@
 	Routes   []RouteSpec
 	Pools    []PoolSpec
 	Accounts []AccountSpec
+	// NeedsKey reports whether calls need the key of an account even if no account has
+	// one. It is also implied by Accounts.
+	NeedsKey bool
 	Limits   CallerLimits
 }
 
