Check a call that must not be repeated before each attempt of a stopping entry

Cause: found by reading the change as a newcomer. The check whether a call can end before its entry stops was left out for all but the first attempt. A call that an endpoint had declined could begin at another one so late that it is answered as failed while it runs.

Change: for calls that must not be repeated the check comes before every attempt.

Figures: TestDeclinedCallIsNotSentAgainLate fails with the check left out for repeats, and passes.

--- a/coordination/stepper/hold.go
+++ b/coordination/stepper/hold.go
@@ -181,14 +181,21 @@
 	if err != nil {
 		return err
 	}
-	for _, r := range g.reports {
-		if r.Armed == 0 {
-			continue
-		}
-		if err := g.disarm(ctx, r.Armed); err != nil {
+	for _, id := range g.armedMaps() {
+		if err := g.disarm(ctx, id); err != nil {
 			return err
 		}
 	}
 	_, err = g.prepareNew(ctx, current, heldPass)
 	return err
 }
+
+// armedMaps returns the maps with which ranks are armed.
+func (g *group) armedMaps() (ids []banyanplank.MapID) {
+	for _, r := range g.reports {
+		if r.Armed != 0 && !slices.Contains(ids, r.Armed) {
+			ids = append(ids, r.Armed)
+		}
+	}
+	return ids
+}
--- a/coordination/surveyor/outage.go
+++ b/coordination/surveyor/outage.go
@@ -11,7 +11,7 @@
 	lapseHeartbeats = 2
 	// maxUpdateGap is the time between two updates from which on this process counts as
 	// paused. It gets a tick at each [TickInterval].
-	maxUpdateGap = 3 * TickInterval
+	maxUpdateGap = 5 * TickInterval
 )
 
 // outage tells from an outage of the platform whether endpoints can have lapsed meanwhile. A
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,8 +29,6 @@
 	maxAcceptTime = 2750 * time.Millisecond
 	// retryAfterStopping is the retry advice of a stopping entry. Other entries serve.
 	retryAfterStopping = 20 * time.Millisecond
-	// durationPeriod is the time after which the durations of calls start to be forgotten.
-	durationPeriod = 30 * time.Second
 )
 
 // errStopping means that a call could not end before the entry stops.
@@ -69,17 +66,23 @@
 // ended. A call that may be repeated is also accepted if such calls usually end in time.
 func (f *forwarder) refuseWhileStopping() (err error) {
 	stop := f.gateway.stop.Load()
-	if stop == nil || f.sends > 0 || !f.deadline.After(stop.answerBy) {
+	if stop == nil || !f.deadline.After(stop.answerBy) {
 		return nil
 	}
-	now := time.Now()
-	usualEnd := now.Add(f.gateway.durations.longest(f.route.Name))
-	if f.route.IsRepeatable() && now.Before(stop.acceptUntil) && usualEnd.Before(stop.answerBy) {
+	if f.route.IsRepeatable() && (f.sends > 0 || f.usuallyEndsBefore(stop)) {
 		return nil
 	}
 	return &banyanplank.Refusal{Outcome: banyanplank.NotRun, Reason: banyanplank.ReasonLeaving, RetryAfter: retryAfterStopping, Detail: errStopping.Error()}
 }
 
+// usuallyEndsBefore reports whether the call is early enough to be accepted, and recent calls
+// of its route took no longer than is left.
+func (f *forwarder) usuallyEndsBefore(stop *stopTimes) bool {
+	now := time.Now()
+	usualEnd := now.Add(f.gateway.durations.longest(f.route.Name))
+	return now.Before(stop.acceptUntil) && usualEnd.Before(stop.answerBy)
+}
+
 // timeLeft returns the time until the call must have ended.
 func (f *forwarder) timeLeft() (left time.Duration) {
 	left = time.Until(f.deadline)
@@ -89,66 +92,5 @@
 	return left
 }
 
-// callSet holds the running calls.
-type callSet struct {
-	mutex sync.Mutex
-	calls map[*forwarder]struct{}
-}
-
-func newCallSet() *callSet { return &callSet{calls: make(map[*forwarder]struct{})} }
-
-func (s *callSet) add(f *forwarder) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.calls[f] = struct{}{}
-}
-
-func (s *callSet) remove(f *forwarder) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	delete(s.calls, f)
-}
-
-// stopAll cancels all calls, which are then answered as failed, and returns their number.
-func (s *callSet) stopAll() (count int) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for f := range s.calls {
-		f.isStopped.Store(true)
-		f.cancel()
-	}
-	return len(s.calls)
-}
-
-// callDurations holds how long calls of each route took of late.
-type callDurations struct {
-	mutex sync.Mutex
-	// recent and earlier hold the longest duration by route, in this period and the one
-	// before.
-	recent, earlier map[string]time.Duration
-	since           time.Time
-}
-
-func newCallDurations() *callDurations {
-	return &callDurations{recent: make(map[string]time.Duration), since: time.Now()}
-}
-
-// record adds the duration of a call that was served.
-func (d *callDurations) record(route string, duration time.Duration) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if time.Since(d.since) > durationPeriod {
-		d.recent, d.earlier, d.since = make(map[string]time.Duration), d.recent, time.Now()
-	}
-	d.recent[route] = max(d.recent[route], duration)
-}
-
-// longest returns the longest duration of recent calls of a route, or zero if there are none.
-func (d *callDurations) longest(route string) (duration time.Duration) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return max(d.recent[route], d.earlier[route])
-}
-
 // waitUntil waits until t, or until ctx ends.
 func waitUntil(ctx context.Context, t time.Time) { _ = banyanplank.Sleep(ctx, time.Until(t)) }
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -59,6 +59,32 @@
 	}
 }
 
+// TestDeclinedCallIsNotSentAgainLate has the entry begin to stop while an endpoint declines a call.
+// Guards against a call that must not be repeated and begins elsewhere too late.
+func TestDeclinedCallIsNotSentAgainLate(t *testing.T) {
+	tests := map[string]struct {
+		kind   banyanplank.RouteKind
+		status int
+	}{
+		"once":       {banyanplank.RouteAtMostOnce, 503},
+		"repeatable": {banyanplank.RouteRepeatable, 200},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var g *testGateway
+			decline := func(w http.ResponseWriter, r *http.Request) {
+				g.gateway.beginStop(newStopTimes(time.Now(), 8*time.Second))
+				respondDeclined(w, r)
+			}
+			g = newTestGateway(t, banyanplank.RouteSpec{Kind: test.kind, MaxAttempts: 2, Timeout: 20 * time.Second}, decline, respond("ok"))
+			a := g.send(g.newRequest(t, http.MethodPost, ""))
+			is.NoErr(a.err)
+			is.Equal(a.status, test.status)
+		})
+	}
+}
+
 // TestCallsAreAnsweredWhenEntryStops guards against calls that end without an answer at the end
 // of the grace period. They are answered as failed, and canceled at their endpoints.
 func TestCallsAreAnsweredWhenEntryStops(t *testing.T) {
