--- a/review/rig/flaps.go
+++ b/review/rig/flaps.go
@@ -25,7 +25,7 @@
 
 // The sizes and times of the script on a rank that goes down and up.
 const (
-	flapRanks   = 8
+	flapRanks   = 10
 	flapCallers = 60
 	// flapping is the number of ranks that go down and up together.
 	flapping    = 1
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -63,6 +63,7 @@
 	"maps":    playMaps,
 	"crashes": playCrashes,
 	"flaps":   playFlaps,
+	"forged":  playForged,
 }
 
 func main() { os.Exit(run()) }
