--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Plays a request that crashes the servers that run it, and kills all entries once it is
-# refused. Exits with 1 if it then reached servers in more than three retries, 0 if not, and 2
-# if the case couldn't run. TROUBLE=0 plays the same without the kill.
+# Plays a group of 16 ranks, one of which goes down and up, and a final fault that ends all
+# entries. Exits with 1 if less than a quarter of the requests is served after the recovery, 0
+# if not, and 2 if the case couldn't run. TROUBLE=0 plays the final fault alone.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/rig ] && [ -x target/banyanplank-entry ] || exit 2
-exec target/rig crashes review/7
+exec target/rig flaps review/7
