--- a/review/rig/flaps.go
+++ b/review/rig/flaps.go
@@ -29,7 +29,7 @@
 	flapCallers = 60
 	// flapping is the number of ranks that go down and up together.
 	flapping    = 1
-	flapEntries = 4
+	flapEntries = 7
 	// stallTime is how long work of a broken group stalls, and formTime the time from the
 	// return of all ranks until the group opens.
 	stallTime = 1500 * time.Millisecond
