Reject responses whose status is none

Callers saw (tests with stand-ins): a response with status 000 was skipped like an interim one. A caller got what stood behind it as the answer, though it was the body of a broken response or belonged to nothing, or waited until its time limit (504 after 2 s) when nothing followed. Agents passed status 0 to callers or panicked on it, and an order or a write that was answered with it counted as rejected.

Cause: net/http takes any three characters that are a number of zero or more for a status. The entry took every status below 200 for an interim response; the other clients took any that they don't know for a rejection.

Change: transport/verifier rejects responses whose status is not in 100 to 599, and 101, which nobody asks for. Such a response counts as broken: another endpoint is tried if the call may be repeated, else the caller gets 502; orders and writes are uncertain.

A broken head also means that its framing is unknown, so the connection is closed.

Handled before: four digits, letters. Peers and the command line compare the status with those that they expect.

--- a/transport/invoker/invoker.go
+++ b/transport/invoker/invoker.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/transport/verifier"
 )
 
 // The HTTP header fields of requests to an endpoint and of its responses.
@@ -58,9 +59,9 @@
 	}
 }
 
-func newTransport(fresh bool) *http.Transport {
+func newTransport(fresh bool) *verifier.Transport {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return verifier.NewTransport(&http.Transport{
 		DialContext:        dialer.DialContext,
 		DisableKeepAlives:  fresh,
 		DisableCompression: true,
@@ -69,7 +70,7 @@
 		// to one host.
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     30 * time.Second,
-	}
+	})
 }
 
 // Run implements [banyanplank.Endpoint]. The error is a [*banyanplank.Refusal]
--- /dev/null
+++ b/transport/invoker/malformed_test.go
@@ -0,0 +1,46 @@
+package invoker_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/standin/responder"
+	"github.com/banyanplank/banyanplank/transport/invoker"
+)
+
+// checkMalformed has an endpoint send text, and checks that it is taken neither for an answer
+// nor for a refusal: the request may have run.
+func checkMalformed(t *testing.T, text string) {
+	t.Helper()
+	is := is.New(t)
+	r, err := responder.Start(text)
+	is.NoErr(err)
+	defer r.Close()
+	i := invoker.New("http://" + r.Address().String())
+	for _, isOnce := range []bool{false, true} {
+		_, err := i.Run(t.Context(), &banyanplank.Request{Method: http.MethodPost, Path: "/", Attempt: "c1", AtMostOnce: isOnce})
+		is.True(err != nil)
+		is.True(!errors.HasType(err, (*banyanplank.Refusal)(nil)))
+	}
+	is.True(i.Cancel(t.Context(), "c1") != nil)
+	is.True(i.Order(t.Context(), banyanplank.Order{}) != nil)
+}
+
+// TestResponseWithInvalidStatusIsNoAnswer guards against a response whose status is none and
+// that a caller gets, or a refusal in one.
+func TestResponseWithInvalidStatusIsNoAnswer(t *testing.T) {
+	for name, text := range map[string]string{
+		"000":             "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok",
+		"000, a refusal":  "HTTP/1.1 000 None\r\nX-Outcome: not run\r\nContent-Length: 0\r\n\r\n",
+		"000, no length":  "HTTP/1.1 000 None\r\n\r\nok",
+		"sign":            "HTTP/1.1 +20 OK\r\nContent-Length: 2\r\n\r\nok",
+		"protocol switch": "HTTP/1.1 101 Switching Protocols\r\n\r\nok",
+		"999":             "HTTP/1.1 999 Much\r\nContent-Length: 2\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) { checkMalformed(t, text) })
+	}
+}
--- a/transport/requester/exchange.go
+++ b/transport/requester/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/transport/verifier"
 )
 
 // Exchange is a call and its response. Close it exactly once.
@@ -69,6 +70,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := verifier.Verify(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
--- /dev/null
+++ b/transport/storer/malformed_test.go
@@ -0,0 +1,41 @@
+package storer_test
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/standin/responder"
+	"github.com/banyanplank/banyanplank/transport/storer"
+)
+
+// checkMalformed has the platform send text, and checks that it is taken for no reply: a read
+// has none, and a write may have taken effect.
+func checkMalformed(t *testing.T, text string) {
+	t.Helper()
+	is := is.New(t)
+	r, err := responder.Start(text)
+	is.NoErr(err)
+	defer r.Close()
+	s, err := storer.New("http://" + r.Address().String())
+	is.NoErr(err)
+	_, err = s.Get(t.Context(), "a")
+	is.True(errors.Is(err, banyanplank.ErrUnavailable))
+	_, err = s.Put(t.Context(), "a", nil, 0)
+	is.True(errors.Is(err, banyanplank.ErrUncertain))
+	is.True(errors.Is(s.Delete(t.Context(), "a", 7), banyanplank.ErrUncertain))
+}
+
+// TestReplyWithInvalidStatusIsUncertain guards against a write that counts as rejected, though
+// it may have taken effect, since the status of the reply is none.
+func TestReplyWithInvalidStatusIsUncertain(t *testing.T) {
+	for name, statusLine := range map[string]string{
+		"000": "HTTP/1.1 000 None", "sign": "HTTP/1.1 +20 OK", "protocol switch": "HTTP/1.1 101 Switching Protocols", "999": "HTTP/1.1 999 Much",
+	} {
+		t.Run(name, func(t *testing.T) {
+			checkMalformed(t, statusLine+"\r\nETag: \"7\"\r\nContent-Length: 2\r\n\r\nok")
+		})
+	}
+}
--- a/transport/storer/storer.go
+++ b/transport/storer/storer.go
@@ -24,6 +24,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/transport/verifier"
 )
 
 var (
@@ -102,11 +103,11 @@
 }
 
 // newTransport returns a transport that uses no proxy.
-func newTransport() (transport *http.Transport) {
-	transport = http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy = nil
-	transport.MaxIdleConnsPerHost = maxIdleConnsPerHost
-	return transport
+func newTransport() (transport *verifier.Transport) {
+	base := http.DefaultTransport.(*http.Transport).Clone()
+	base.Proxy = nil
+	base.MaxIdleConnsPerHost = maxIdleConnsPerHost
+	return verifier.NewTransport(base)
 }
 
 // refuseRedirect makes the HTTP client return a redirect as the reply.
