Reject responses with a blank in a field name

Callers saw (tests with stand-ins): a response was passed on as the answer although the name of a field held a blank. A line that began with a blank or a tab reached the caller as part of the value of the field before it. Where the broken name was that of the length or the transfer encoding, the caller got the chunk framing, or the bytes of something else, as the body, or waited until its time limit for a connection to end that stayed open.

Cause: net/http accepts field names with blanks and just doesn't recognize them, so the length that such a field gives isn't used. A line that begins with a blank continues the one before it (the obsolete folding, which HTTP/1.1 leaves a gateway the choice to reject). Nothing looked at the names behind the parser.

Change: verifier.Verify looks for blanks in the names that were parsed. What the parser hides, folded lines and the fields of interim responses, verifier.Scanner finds in the bytes that the connection delivers. The requester scans the heads that it reads, the Transport those of the other clients; the clients of peers and of the command line use it as well.

Handled before, kept as tests: control bytes in a name (tab, NUL, DEL and CR too), a blank first in the first field, an empty name; net/http rejects them. Trailers reach no caller, whatever their names.

--- a/cmd/banyanplank/fetch.go
+++ b/cmd/banyanplank/fetch.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc/iter"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/transport/verifier"
 )
 
 const (
@@ -55,6 +56,9 @@
 	})
 }
 
+// daemonClient calls daemons.
+var daemonClient = &http.Client{Transport: verifier.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
+
 // fetch gets a URL and decodes its JSON body into reply. A key that is not empty
 // is sent as a bearer token. Any status other than 200 is an error.
 func fetch(ctx context.Context, target, key string, reply any) (err error) {
@@ -66,7 +70,7 @@
 	if key != "" {
 		request.Header.Set("Authorization", "Bearer "+key)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := daemonClient.Do(request)
 	if err != nil {
 		return err
 	}
--- a/cmd/banyanplank/group.go
+++ b/cmd/banyanplank/group.go
@@ -271,7 +271,7 @@
 	if err != nil {
 		return false, err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := daemonClient.Do(request)
 	if err != nil {
 		return false, err
 	}
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -10,6 +11,9 @@
 	"github.com/matryer/is"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/coordination/collector"
+	"github.com/banyanplank/banyanplank/coordination/surveyor"
+	"github.com/banyanplank/banyanplank/standin/responder"
 )
 
 // respondRaw returns an endpoint that writes text as it is, and leaves the connection open
@@ -47,8 +51,6 @@
 // attempt left, ends at once with a status that promises nothing.
 func checkMalformed(t *testing.T, text string) {
 	t.Helper()
-	const first = "id: 1\ndata: 1\n\n"
-	resumed := respondRaw(text)
 	tests := map[string]struct {
 		route    banyanplank.RouteSpec
 		handlers []handler
@@ -61,8 +63,8 @@
 		"repeatable, no more":  {banyanplank.RouteSpec{Kind: banyanplank.RouteRepeatable, MaxAttempts: 1}, []handler{respondRaw(text), respond("ok")}, http.StatusBadGateway, "", false},
 		"stream":               {banyanplank.RouteSpec{Kind: banyanplank.RouteStream, MaxAttempts: 2, Resumable: true}, []handler{respondRaw(text), streamEvents(1, 2, "", false)}, http.StatusOK, eventText(1, 2), false},
 		"stream, not resumed":  {banyanplank.RouteSpec{Kind: banyanplank.RouteStream, MaxAttempts: 2}, []handler{respondRaw(text), streamEvents(1, 2, "", false)}, http.StatusBadGateway, "", false},
-		"rest of a stream":     {banyanplank.RouteSpec{Kind: banyanplank.RouteStream, MaxAttempts: 3, Resumable: true}, []handler{streamEvents(1, 1, "", true), resumed, streamEvents(2, 2, "", false)}, http.StatusOK, eventText(1, 2), false},
-		"rest, no more":        {banyanplank.RouteSpec{Kind: banyanplank.RouteStream, MaxAttempts: 2, Resumable: true}, []handler{streamEvents(1, 1, "", true), resumed, streamEvents(2, 2, "", false)}, http.StatusOK, first, true},
+		"rest of a stream":     {banyanplank.RouteSpec{Kind: banyanplank.RouteStream, MaxAttempts: 3, Resumable: true}, []handler{streamEvents(1, 1, "", true), respondRaw(text), streamEvents(2, 2, "", false)}, http.StatusOK, eventText(1, 2), false},
+		"rest, no more":        {banyanplank.RouteSpec{Kind: banyanplank.RouteStream, MaxAttempts: 2, Resumable: true}, []handler{streamEvents(1, 1, "", true), respondRaw(text), streamEvents(2, 2, "", false)}, http.StatusOK, eventText(1, 1), true},
 		"with a prompt":        {banyanplank.RouteSpec{Kind: banyanplank.RouteStream, MaxAttempts: 2, Resumable: true}, []handler{respondRaw(text), streamEvents(1, 2, "", false)}, http.StatusOK, eventText(1, 2), false},
 		"after other calls":    {banyanplank.RouteSpec{Kind: banyanplank.RouteRepeatable, MaxAttempts: 2}, []handler{respond("warm"), respond("warm"), respondRaw(text), respond("ok")}, http.StatusOK, "ok", false},
 		"behind an interim":    {banyanplank.RouteSpec{Kind: banyanplank.RouteRepeatable, MaxAttempts: 2}, []handler{respondRaw("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + text), respond("ok")}, http.StatusOK, "ok", false},
@@ -122,3 +124,92 @@
 		t.Run(name, func(t *testing.T) { checkMalformed(t, text) })
 	}
 }
+
+// TestResponseWithInvalidFieldNameReachesNoCaller guards against a response with a field name
+// that holds a blank or a control byte. A field that is not recognized may be the one that
+// tells where the body ends, and a line that begins with a blank is joined to the one before.
+func TestResponseWithInvalidFieldNameReachesNoCaller(t *testing.T) {
+	const chunked = "\r\n\r\n13\r\n" + malformedEvents + "\r\n0\r\n\r\n"
+	const head = okLine + "\r\nId: c1\r\nSeal: s\r\n"
+	for name, text := range map[string]string{
+		"blank inside":                    malformedResponse(okLine, "X Spoiled: v", lengthLine),
+		"blank before the colon":          malformedResponse(okLine, "X-Spoiled : v", lengthLine),
+		"blank first":                     malformedResponse(okLine, " X-Spoiled: v", lengthLine),
+		"blank first, last line":          malformedResponse(okLine, lengthLine, "X-A: b", " X-Spoiled: v"),
+		"blank first, first line":         okLine + "\r\n Id: c1\r\nSeal: s\r\n" + lengthLine + "\r\n\r\n" + malformedEvents,
+		"tab inside":                      malformedResponse(okLine, "X-Spo\tiled: v", lengthLine),
+		"tab before the colon":            malformedResponse(okLine, "X-Spoiled\t: v", lengthLine),
+		"tab first":                       malformedResponse(okLine, "\tX-Spoiled: v", lengthLine),
+		"blank line of a blank":           malformedResponse(okLine, " ", lengthLine),
+		"control byte first":              malformedResponse(okLine, "\x01X-Spoiled: v", lengthLine),
+		"control byte inside":             malformedResponse(okLine, "X-Spo\x01iled: v", lengthLine),
+		"control byte before the colon":   malformedResponse(okLine, "X-Spoiled\x1f: v", lengthLine),
+		"NUL":                             malformedResponse(okLine, "X-Spo\x00iled: v", lengthLine),
+		"DEL":                             malformedResponse(okLine, "X-Spo\x7filed: v", lengthLine),
+		"CR":                              malformedResponse(okLine, "X-Spo\riled: v", lengthLine),
+		"empty":                           malformedResponse(okLine, ": spoiled", lengthLine),
+		"length, blank before the colon":  malformedResponse(okLine, "Content-Length : 19"),
+		"length, blank inside":            malformedResponse(okLine, "Content -Length: 19"),
+		"length, blank first":             malformedResponse(okLine, " Content-Length: 19"),
+		"length, control byte":            malformedResponse(okLine, "Content-Length\x02: 19"),
+		"length, closed":                  malformedResponse(okLine, "Connection: close", "Content-Length : 19"),
+		"chunks, blank before the colon":  head + "Transfer-Encoding : chunked" + chunked,
+		"chunks, blank first":             head + "X-A: b\r\n Transfer-Encoding: chunked" + chunked,
+		"chunks, tab first":               head + "X-A: b\r\n\tTransfer-Encoding: chunked" + chunked,
+		"chunks, length of less":          head + lengthLine + "\r\nTransfer-Encoding : chunked" + chunked,
+		"chunks, control byte":            head + "Transfer-Encoding\x0b: chunked" + chunked,
+		"lines end with LF":               strings.ReplaceAll(malformedResponse(okLine, "X-A: b", " X-Spoiled: v", lengthLine), "\r\n", "\n"),
+		"of an interim response":          "HTTP/1.1 103 Early Hints\r\nX Spoiled: v\r\n\r\n" + malformedResponse(okLine, lengthLine),
+		"of an interim one, blank first":  "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n X-Spoiled: v\r\n\r\n" + malformedResponse(okLine, lengthLine),
+		"declined, blank before a colon":  "HTTP/1.1 503 No\r\nId: c1\r\nNot-Run: 1\r\nX-Spoiled : v\r\nContent-Length: 0\r\n\r\n",
+		"failure, blank before the colon": malformedResponse("HTTP/1.1 404 No", "X-Spoiled : v", lengthLine),
+	} {
+		t.Run(name, func(t *testing.T) { checkMalformed(t, text) })
+	}
+}
+
+// TestTrailersReachNoCaller checks that no field behind the body of a response is passed on, as
+// nobody has verified its name.
+func TestTrailersReachNoCaller(t *testing.T) {
+	for name, line := range map[string]string{"valid": "X-Spoiled: v", "blank": "X Spoiled: v", "folded": "X-A: b\r\n X-Spoiled: v"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			text := okLine + "\r\nId: c1\r\nSeal: s\r\nTrailer: X-Spoiled\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + line + "\r\n\r\n"
+			g := newTestGateway(t, banyanplank.RouteSpec{Kind: banyanplank.RouteAtMostOnce, MaxAttempts: 1}, respondRaw(text))
+			a := g.send(g.newRequest(t, http.MethodPost, ""))
+			is.NoErr(a.err)
+			is.Equal(a.body, "ok")
+			is.Equal(len(a.trailer), 0)
+			is.True(!strings.Contains(strings.ToLower(fmt.Sprint(a.header)), "spoiled"))
+		})
+	}
+}
+
+// TestMalformedResponseOfPeerIsAnError guards against counts and topics that are read from a
+// response that HTTP doesn't allow. The address of a peer may belong to another process by now.
+func TestMalformedResponseOfPeerIsAnError(t *testing.T) {
+	const body = "{}"
+	for name, head := range map[string]string{
+		"status":       "HTTP/1.1 000 None\r\n",
+		"blank":        okLine + "\r\nX A: b\r\n",
+		"blank first":  okLine + "\r\nX-A: b\r\n X-B: c\r\n",
+		"control byte": okLine + "\r\nX\x01A: b\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r, err := responder.Start(head + "Content-Length: 2\r\n\r\n" + body)
+			is.NoErr(err)
+			defer r.Close()
+			d := newTestFleet(map[banyanplank.Zone]int{"a": 1}).daemons[0]
+			d.enableUsage(usageWindow)
+			d.snapshot.Store(&surveyor.Snapshot{Peers: []banyanplank.Member{{ID: "b", PeerAddress: r.Address()}}})
+			_, err = d.usage.Fetch(t.Context(), "b")
+			is.True(err != nil)
+			_, err = d.usage.Send(t.Context(), "b", &collector.Message{})
+			is.True(err != nil)
+			d.relay.recordRevisions(r.Address(), map[banyanplank.Topic]banyanplank.Version{banyanplank.TopicRouting: 3})
+			_, _, err = d.relay.FetchTopic(t.Context(), banyanplank.TopicRouting)
+			is.True(err != nil)
+		})
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -14,6 +14,7 @@
 
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/surveyor"
+	"github.com/banyanplank/banyanplank/transport/verifier"
 )
 
 // Limits on the exchange of topics between entries.
@@ -78,7 +79,7 @@
 func newRelay(snapshot func() *surveyor.Snapshot) *relay {
 	return &relay{
 		snapshot: snapshot,
-		client:   &http.Client{Timeout: relayTimeout},
+		client:   &http.Client{Timeout: relayTimeout, Transport: verifier.NewTransport(http.DefaultTransport.(*http.Transport).Clone())},
 		newest:   make(map[banyanplank.Topic]peerRevision),
 	}
 }
--- a/gateway/testgateway_test.go
+++ b/gateway/testgateway_test.go
@@ -215,7 +215,9 @@
 	status int
 	header http.Header
 	body   string
-	err    error
+	// trailer has the fields behind the body.
+	trailer http.Header
+	err     error
 }
 
 // send sends a request and reads the response.
@@ -226,7 +228,7 @@
 	}
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
-	return callerResponse{status: response.StatusCode, header: response.Header, body: string(text), err: err}
+	return callerResponse{status: response.StatusCode, header: response.Header, body: string(text), trailer: response.Trailer, err: err}
 }
 
 // runPendingProbes probes all queued endpoints.
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -23,6 +23,7 @@
 	"github.com/banyanplank/banyanplank/state/counter"
 	"github.com/banyanplank/banyanplank/transport/requester"
 	"github.com/banyanplank/banyanplank/transport/server"
+	"github.com/banyanplank/banyanplank/transport/verifier"
 )
 
 // Limits on the exchange of usage counts between entries.
@@ -82,7 +83,7 @@
 func (d *Daemon) enableUsage(window time.Duration, options ...usageOption) *collector.Collector {
 	u := &usage{
 		daemon: d, read: counter.Read,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * collector.SendInterval}},
+		client: &http.Client{Transport: verifier.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * collector.SendInterval})},
 	}
 	for _, option := range options {
 		option(u)
--- a/transport/invoker/malformed_test.go
+++ b/transport/invoker/malformed_test.go
@@ -44,3 +44,21 @@
 		t.Run(name, func(t *testing.T) { checkMalformed(t, text) })
 	}
 }
+
+// TestResponseWithInvalidFieldNameIsNoAnswer guards against a body that is not the endpoint's,
+// since the field that tells where it ends is not recognized.
+func TestResponseWithInvalidFieldNameIsNoAnswer(t *testing.T) {
+	const okLine, chunks = "HTTP/1.1 200 OK\r\n", "2\r\nok\r\n0\r\n\r\n"
+	for name, text := range map[string]string{
+		"blank inside":              okLine + "X A: b\r\nContent-Length: 2\r\n\r\nok",
+		"blank first":               okLine + "X-A: b\r\n X-B: c\r\nContent-Length: 2\r\n\r\nok",
+		"length, blank":             okLine + "Content-Length : 2\r\n\r\nok",
+		"chunks, blank":             okLine + "Transfer-Encoding : chunked\r\n\r\n" + chunks,
+		"chunks, blank first":       okLine + "X-A: b\r\n Transfer-Encoding: chunked\r\n\r\n" + chunks,
+		"chunks, control byte":      okLine + "Transfer-Encoding\x01: chunked\r\n\r\n" + chunks,
+		"a refusal, with a blank":   "HTTP/1.1 503 No\r\nX-Outcome: not run\r\nX A: b\r\nContent-Length: 0\r\n\r\n",
+		"events, chunks of a blank": okLine + "Content-Type: text/event-stream\r\nTransfer-Encoding : chunked\r\n\r\n" + chunks,
+	} {
+		t.Run(name, func(t *testing.T) { checkMalformed(t, text) })
+	}
+}
--- a/transport/requester/exchange.go
+++ b/transport/requester/exchange.go
@@ -63,7 +63,7 @@
 
 // readHead reads the head of the next final response and skips interim ones.
 func (e *Exchange) readHead(method string) (response *http.Response, err error) {
-	e.conn.headBytesLeft, e.conn.inHead = e.requester.maxHeadBytes, true
+	e.conn.beginHead(e.requester.maxHeadBytes)
 	defer func() { e.conn.inHead = false }()
 	for {
 		response, err = http.ReadResponse(e.conn.reader, &http.Request{Method: method})
@@ -73,6 +73,9 @@
 		if err := verifier.Verify(response); err != nil {
 			return nil, err
 		}
+		if err := e.conn.scanner.Err(); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
--- a/transport/requester/fuzz_test.go
+++ b/transport/requester/fuzz_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -28,6 +29,7 @@
 		"HTTP/1.1 204 No Content\r\nId: c1\r\n\r\njunk",
 		"HTTP/1.0 200 OK\r\nId: c1\r\n\r\nuntil the end",
 		"\x16\x03\x01\x02", "", "HTTP/1.1 99999999999999999999 X\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: c1\r\nX A: b\r\nContent-Length : 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nId: c1\r\nX-A: b\r\n Content-Length: 2\r\n\r\nok",
 		"HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\nId: c1\r\nContent-Length: 2\r\n\r\nok",
 	} {
 		f.Add([]byte(text))
@@ -86,6 +88,11 @@
 		if status := exchange.Response.StatusCode; status < http.StatusOK || status > 599 {
 			t.Errorf("answer with status %d", status)
 		}
+		for name := range exchange.Response.Header {
+			if strings.ContainsAny(name, " \t") {
+				t.Errorf("answer with the field name %q", name)
+			}
+		}
 		if _, err := io.Copy(io.Discard, exchange.Response.Body); err == nil {
 			exchange.MarkComplete()
 		}
--- a/transport/requester/requester.go
+++ b/transport/requester/requester.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/transport/verifier"
 )
 
 // Defaults and limits of a [Requester].
@@ -118,6 +119,8 @@
 	// take, while inHead is set.
 	headBytesLeft int
 	inHead        bool
+	// scanner scans the current response head.
+	scanner verifier.Scanner
 	// hasAnswered is set once the connection has carried a response.
 	hasAnswered bool
 }
@@ -136,9 +139,19 @@
 	}
 	n, err = c.Conn.Read(p[:min(len(p), c.headBytesLeft)])
 	c.headBytesLeft -= n
+	c.scanner.Scan(p[:n])
 	return n, err
 }
 
+// beginHead prepares to read a response head of up to maxBytes. Its first bytes may have been
+// read with what came before.
+func (c *conn) beginHead(maxBytes int) {
+	c.headBytesLeft, c.inHead, c.scanner = maxBytes, true, verifier.Scanner{}
+	// An error is impossible, as no byte has to be read.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.scanner.Scan(buffered)
+}
+
 // interrupt cancels pending reads and writes. If it fails, the connection is closed,
 // which cancels them as well.
 func (c *conn) interrupt() { _ = c.SetDeadline(time.Unix(1, 0)) }
--- a/transport/storer/malformed_test.go
+++ b/transport/storer/malformed_test.go
@@ -39,3 +39,13 @@
 		})
 	}
 }
+
+// TestReplyWithInvalidFieldNameIsUncertain guards against a reply that is used though a name of
+// its fields holds a blank or a control byte.
+func TestReplyWithInvalidFieldNameIsUncertain(t *testing.T) {
+	for name, line := range map[string]string{"blank": "X A: b", "blank before the colon": "X-A : b", "blank first": " X-A: b", "tab first": "\tX-A: b", "control byte": "X\x01A: b"} {
+		t.Run(name, func(t *testing.T) {
+			checkMalformed(t, "HTTP/1.1 200 OK\r\nETag: \"7\"\r\n"+line+"\r\nContent-Length: 2\r\n\r\nok")
+		})
+	}
+}
--- a/transport/verifier/transport_test.go
+++ b/transport/verifier/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -37,29 +38,57 @@
 	return &http.Client{Transport: verifier.NewTransport(&http.Transport{}), Timeout: 5 * time.Second}
 }
 
+// result is what becomes of a response.
+type result int
+
+const (
+	accepted result = iota
+	// malformed responses are those that only the verifier rejects.
+	malformed
+	// unparsable responses are those that net/http rejects.
+	unparsable
+)
+
 // TestMalformedResponsesAreErrors checks which responses are passed on. Each is sent twice, the
 // second time on the same connection if it could be reused.
 func TestMalformedResponsesAreErrors(t *testing.T) {
 	const rest = "Content-Length: 2\r\n\r\nok"
 	tests := map[string]struct {
-		text      string
-		malformed bool
+		text   string
+		result result
 	}{
-		"plain":                   {okHead + rest, false},
-		"no reason":               {"HTTP/1.1 200\r\n" + rest, false},
-		"chunks":                  {okHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false},
-		"LF":                      {"HTTP/1.1 200 OK\nContent-Length: 2\n\nok", false},
-		"599":                     {"HTTP/1.1 599 Odd\r\n" + rest, false},
-		"behind interim ones":     {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + okHead + rest, false},
-		"000":                     {"HTTP/1.1 000 None\r\n" + rest, true},
-		"000, no length":          {"HTTP/1.1 000 None\r\n\r\nok", true},
-		"negative zero":           {"HTTP/1.1 -00 None\r\n" + rest, true},
-		"sign":                    {"HTTP/1.1 +20 OK\r\n" + rest, true},
-		"two digits":              {"HTTP/1.1 099 OK\r\n" + rest, true},
-		"600":                     {"HTTP/1.1 600 Much\r\n" + rest, true},
-		"600, no body":            {"HTTP/1.1 600 Much\r\nContent-Length: 0\r\n\r\n", true},
-		"protocol switch":         {"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n" + okHead + rest, true},
-		"000 behind interim ones": {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 None\r\n" + rest, true},
+		"plain":                   {okHead + rest, accepted},
+		"no reason":               {"HTTP/1.1 200\r\n" + rest, accepted},
+		"chunks":                  {okHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", accepted},
+		"LF":                      {"HTTP/1.1 200 OK\nContent-Length: 2\n\nok", accepted},
+		"599":                     {"HTTP/1.1 599 Odd\r\n" + rest, accepted},
+		"behind interim ones":     {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + okHead + rest, accepted},
+		"000":                     {"HTTP/1.1 000 None\r\n" + rest, malformed},
+		"000, no length":          {"HTTP/1.1 000 None\r\n\r\nok", malformed},
+		"negative zero":           {"HTTP/1.1 -00 None\r\n" + rest, malformed},
+		"sign":                    {"HTTP/1.1 +20 OK\r\n" + rest, malformed},
+		"two digits":              {"HTTP/1.1 099 OK\r\n" + rest, malformed},
+		"600":                     {"HTTP/1.1 600 Much\r\n" + rest, malformed},
+		"600, no body":            {"HTTP/1.1 600 Much\r\nContent-Length: 0\r\n\r\n", malformed},
+		"protocol switch":         {"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n" + okHead + rest, malformed},
+		"trailers":                {okHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-A: b\r\n\r\n", accepted},
+		"lines of a body":         {okHead + "Content-Length: 2\r\n\r\nok", accepted},
+		"long field":              {okHead + "X-A: " + strings.Repeat("x y ", 4000) + "\r\n" + rest, accepted},
+		"blanks around a value":   {okHead + "X-A: \t b \t\r\n" + rest, accepted},
+		"blank inside":            {okHead + "X A: b\r\n" + rest, malformed},
+		"blank before the colon":  {okHead + "X-A : b\r\n" + rest, malformed},
+		"blank first":             {okHead + "X-A: b\r\n X-B: c\r\n" + rest, malformed},
+		"tab first":               {okHead + "X-A: b\r\n\tX-B: c\r\n" + rest, malformed},
+		"blank first, first line": {okHead + " X-B: c\r\n" + rest, unparsable},
+		"blank first, last line":  {okHead + "Content-Length: 2\r\n X-B: c\r\n\r\nok", unparsable},
+		"blank first, LF":         {"HTTP/1.1 200 OK\nX-A: b\n X-B: c\nContent-Length: 2\n\nok", malformed},
+		"blank first, no body":    {okHead + "X-A: b\r\n X-B: c\r\nContent-Length: 0\r\n\r\n", malformed},
+		"blank line of a blank":   {okHead + "X-A: b\r\n \r\n" + rest, malformed},
+		"blank first, long":       {okHead + "X-A: " + strings.Repeat("x", 16000) + "\r\n X-B: c\r\n" + rest, malformed},
+		"blank first, interim":    {"HTTP/1.1 103 Early Hints\r\nX-A: b\r\n X-B: c\r\n\r\n" + okHead + rest, malformed},
+		"blank behind interim":    {"HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n" + okHead + "X-A: b\r\n X-B: c\r\n" + rest, malformed},
+		"control byte":            {okHead + "X\x01A: b\r\n" + rest, unparsable},
+		"000 behind interim ones": {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 None\r\n" + rest, malformed},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -71,12 +100,13 @@
 			defer client.CloseIdleConnections()
 			for range 2 {
 				body, err := get(t, client, r.Address().String())
-				if test.malformed {
-					is.True(errors.Is(err, verifier.ErrMalformed))
+				if test.result == accepted {
+					is.NoErr(err)
+					is.Equal(body, "ok")
 					continue
 				}
-				is.NoErr(err)
-				is.Equal(body, "ok")
+				is.True(err != nil)
+				is.Equal(errors.Is(err, verifier.ErrMalformed), test.result == malformed)
 			}
 		})
 	}
--- a/transport/verifier/verifier.go
+++ b/transport/verifier/verifier.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -13,11 +14,14 @@
 // the request.
 var ErrMalformed = errors.New("malformed response")
 
+// errBlankName is the [ErrMalformed] of a field name that contains a blank.
+var errBlankName = errors.Wrap(ErrMalformed, "field name with a blank")
+
 // maxStatus is the largest status that HTTP defines a class for.
 const maxStatus = 599
 
 // Verify returns [ErrMalformed] if HTTP doesn't allow the head of a response. An interim
-// response is valid.
+// response is valid. A name that begins with a blank is found only by a [Scanner].
 func Verify(response *http.Response) (err error) {
 	// The parser takes any three characters for a status that are a number of zero or more,
 	// such as "000" and "+20". Nobody asks for another protocol.
@@ -25,5 +29,10 @@
 	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return errors.Wrapf(ErrMalformed, "status %q", response.Status)
 	}
+	for name := range response.Header {
+		if strings.Contains(name, " ") {
+			return errBlankName
+		}
+	}
 	return nil
 }
