Send malformed responses in the soak

Cause: no run of the soak had a server whose responses aren't HTTP, so nothing but a unit test would have shown one that reaches a caller.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -127,7 +127,7 @@
 	is := is.New(t)
 	h := &harness{entries: []*entry{{name: "e"}}, slots: []*serverSlot{{service: "s", zone: "a"}}}
 	drawTexts := func(seed uint64) (texts []string) {
-		h.extraRandom = newRandom(seed)
+		h.extraRandom, h.malformedRandom = newRandom(seed), newRandom(seed)
 		for _, f := range h.drawFaults(newRandom(seed)) {
 			texts = append(texts, f.Kind+f.Target+f.At.String()+f.Until.String())
 		}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -49,7 +49,8 @@
 		f.Until = f.At + minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration)))
 		faults = append(faults, f)
 	}
-	return append(faults, h.drawExtraFaults()...)
+	faults = append(faults, h.drawExtraFaults()...)
+	return append(faults, h.drawMalformedFaults()...)
 }
 
 // drawExtraFaults draws faults of the kinds that were added later. It uses a random source
@@ -78,6 +79,26 @@
 	return faults
 }
 
+// drawMalformedFaults draws whether the servers of a service send malformed responses. It has a
+// random source of its own, for the same reason.
+func (h *harness) drawMalformedFaults() (faults []*Fault) {
+	random := h.malformedRandom
+	if random.IntN(2) == 0 {
+		return nil
+	}
+	choice := malformedFaults[random.IntN(len(malformedFaults))]
+	f := h.newServerFault(choice, h.slots[random.IntN(len(h.slots))].service)
+	f.At = time.Duration(random.Int64N(int64(faultStartWindow)))
+	f.Until = f.At + maxFaultDuration
+	return []*Fault{f}
+}
+
+// serverFaultKind is a fault of servers and its name.
+type serverFaultKind struct {
+	kind  string
+	fault mimic.ServerFault
+}
+
 // The kinds of faults, drawn by index.
 var (
 	storeFaults = []struct {
@@ -94,12 +115,12 @@
 	}{
 		{"delay", delay}, {"reset", reset}, {"mute", dropToTarget}, {"deaf", dropFromTarget},
 	}
-	serverFaults = []struct {
-		kind  string
-		fault mimic.ServerFault
-	}{
+	serverFaults = []serverFaultKind{
 		{"forgetful", mimic.ServerDropsReplies}, {"short", mimic.ServerTruncates}, {"full", mimic.ServerRejects}, {"failing", mimic.ServerFails},
 	}
+	malformedFaults = []serverFaultKind{
+		{"with invalid status", mimic.ServerSendsInvalidStatus}, {"with invalid names", mimic.ServerSendsInvalidName},
+	}
 )
 
 // drawFault draws a fault without its times.
@@ -137,9 +158,13 @@
 	}}
 }
 
-// serverFault injects a fault into all servers of a service.
+// serverFault draws a fault of all servers of a service.
 func (h *harness) serverFault(random *rand.Rand, service string) (f *Fault) {
-	choice := serverFaults[random.IntN(len(serverFaults))]
+	return h.newServerFault(serverFaults[random.IntN(len(serverFaults))], service)
+}
+
+// newServerFault returns a fault of all servers of a service.
+func (h *harness) newServerFault(choice serverFaultKind, service string) (f *Fault) {
 	return &Fault{Kind: "servers " + choice.kind, Target: service, inject: func(done <-chan struct{}) {
 		h.injectServerFault(service, choice.fault)
 		<-done
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -88,6 +88,8 @@
 	runLog      *mimic.RunLog
 	// extraRandom draws the kinds of faults that were added later.
 	extraRandom *rand.Rand
+	// malformedRandom draws malformed responses.
+	malformedRandom *rand.Rand
 	entries     []*entry
 	slots       []*serverSlot
 	// faults, phaseStart and faultFreePhases are used only by the goroutine that runs the
@@ -129,6 +131,7 @@
 		option(&h.options)
 	}
 	h.extraRandom = rand.New(rand.NewPCG(h.seed, 1))
+	h.malformedRandom = rand.New(rand.NewPCG(h.seed, 2))
 	if h.dir == "" {
 		if h.dir, err = os.MkdirTemp("", "soak"); err != nil {
 			return nil, err
