Reject responses of another protocol version

Callers saw (a test with a stand-in): a response that began with "HTTP/2.0 200 OK", or with any other digits, was passed on as an answer.

Change: a response whose major version isn't 1 is malformed, unless it came over TLS, where HTTP/2 is agreed on. HTTP/1.0 stays valid.

Why it works: it is checked where the status is, for all that read responses.

Failed before: 3 of 6 versions in TestResponseOfAnotherProtocolReachesNoCaller, 2 of 3 in TestMalformedResponsesAreErrors. All pass now. Handled before: another name, lower case, two digits.

--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -125,6 +125,14 @@
 	}
 }
 
+// TestResponseOfAnotherProtocolReachesNoCaller guards against a response whose version is that
+// of a protocol in which messages look different.
+func TestResponseOfAnotherProtocolReachesNoCaller(t *testing.T) {
+	for name, version := range map[string]string{"HTTP/2": "HTTP/2.0", "HTTP/0.9": "HTTP/0.9", "HTTP/9.1": "HTTP/9.1", "other name": "ICY/1.1", "lower case": "http/1.1", "two digits": "HTTP/1.10"} {
+		t.Run(name, func(t *testing.T) { checkMalformed(t, malformedResponse(version+" 200 OK", lengthLine)) })
+	}
+}
+
 // TestResponseWithInvalidFieldNameReachesNoCaller guards against a response with a field name
 // that holds a blank or a control byte. A field that is not recognized may be the one that
 // tells where the body ends, and a line that begins with a blank is joined to the one before.
--- a/transport/verifier/verifier.go
+++ b/transport/verifier/verifier.go
@@ -29,6 +29,10 @@
 	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return errors.Wrapf(ErrMalformed, "status %q", response.Status)
 	}
+	// HTTP/2 is agreed on with TLS.
+	if response.ProtoMajor != 1 && response.TLS == nil {
+		return errors.Wrapf(ErrMalformed, "version %q", response.Proto)
+	}
 	for name := range response.Header {
 		if strings.Contains(name, " ") {
 			return errBlankName
