--- a/transport/storer/storer.go
+++ b/transport/storer/storer.go
@@ -74,8 +74,9 @@
 	return func(s *Storer) { s.watchWait = wait }
 }
 
-// WithTransport sets the HTTP transport. Use it for TLS settings or in tests. By
-// default each client has its own transport without a proxy.
+// WithTransport sets the HTTP transport. Use it for TLS settings or in tests. Wrap it
+// with [verifier.NewTransport] to reject malformed replies. By default each client has its
+// own transport, without a proxy, that does.
 func WithTransport(transport http.RoundTripper) Option {
 	return func(s *Storer) { s.client.Transport = transport }
 }
