Quote only the status of a malformed response

Cause: the error quoted the whole status line, up to 64 KiB of the server's bytes, which went into a log line and into the body of the 502 that the caller gets.

Change: three characters of it are quoted.

Run: the case "000, long reason" of TestMalformedResponsesAreErrors failed before and passes now.

--- a/transport/verifier/transport_test.go
+++ b/transport/verifier/transport_test.go
@@ -74,6 +74,7 @@
 		"HTTP/1.0":                {"HTTP/1.0 200 OK\r\n" + rest, accepted},
 		"HTTP/2.0":                {"HTTP/2.0 200 OK\r\n" + rest, malformed},
 		"HTTP/0.9":                {"HTTP/0.9 200 OK\r\n" + rest, malformed},
+		"000, long reason":        {"HTTP/1.1 000 " + strings.Repeat("x", 16000) + "\r\n" + rest, malformed},
 		"trailers":                {okHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-A: b\r\n\r\n", accepted},
 		"lines of a body":         {okHead + "Content-Length: 2\r\n\r\nok", accepted},
 		"long field":              {okHead + "X-A: " + strings.Repeat("x y ", 4000) + "\r\n" + rest, accepted},
@@ -110,6 +111,7 @@
 				}
 				is.True(err != nil)
 				is.Equal(errors.Is(err, verifier.ErrMalformed), test.result == malformed)
+				is.True(test.result == unparsable || len(err.Error()) < 200) // it is logged and told
 			}
 		})
 	}
--- a/transport/verifier/verifier.go
+++ b/transport/verifier/verifier.go
@@ -27,7 +27,7 @@
 	// such as "000" and "+20". Nobody asks for another protocol.
 	status := response.StatusCode
 	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
-		return errors.Wrapf(ErrMalformed, "status %q", response.Status)
+		return errors.Wrapf(ErrMalformed, "status %.3q", response.Status)
 	}
 	// HTTP/2 is agreed on with TLS.
 	if response.ProtoMajor != 1 && response.TLS == nil {
