Use the terms of HTTP for malformed responses

Cause: comments, errors and names of test cases spoke of blanks and control bytes, and of things behind others, where the field says whitespace, control characters and folded lines.

--- a/cmd/banyanplank/malformed_test.go
+++ b/cmd/banyanplank/malformed_test.go
@@ -12,7 +12,7 @@
 // TestMalformedReplyIsAnError guards against a result that is read from a reply that HTTP
 // doesn't allow, as its end is unknown.
 func TestMalformedReplyIsAnError(t *testing.T) {
-	for name, lines := range map[string]string{"blank": "X A: b", "blank first": "X-A: b\r\n X-B: c", "control byte": "X\x01A: b"} {
+	for name, lines := range map[string]string{"space": "X A: b", "leading space": "X-A: b\r\n X-B: c", "control character": "X\x01A: b"} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			daemon := func(statusLine string) (address netip.AddrPort) {
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -58,17 +58,17 @@
 		body     string
 		cut      bool
 	}{
-		"once":                 {banyanplank.RouteSpec{Kind: banyanplank.RouteAtMostOnce, MaxAttempts: 2}, []handler{respondRaw(text), respond("ok")}, http.StatusBadGateway, "", false},
-		"repeatable":           {banyanplank.RouteSpec{Kind: banyanplank.RouteRepeatable, MaxAttempts: 2}, []handler{respondRaw(text), respond("ok")}, http.StatusOK, "ok", false},
-		"repeatable, no more":  {banyanplank.RouteSpec{Kind: banyanplank.RouteRepeatable, MaxAttempts: 1}, []handler{respondRaw(text), respond("ok")}, http.StatusBadGateway, "", false},
-		"stream":               {banyanplank.RouteSpec{Kind: banyanplank.RouteStream, MaxAttempts: 2, Resumable: true}, []handler{respondRaw(text), streamEvents(1, 2, "", false)}, http.StatusOK, eventText(1, 2), false},
-		"stream, not resumed":  {banyanplank.RouteSpec{Kind: banyanplank.RouteStream, MaxAttempts: 2}, []handler{respondRaw(text), streamEvents(1, 2, "", false)}, http.StatusBadGateway, "", false},
-		"rest of a stream":     {banyanplank.RouteSpec{Kind: banyanplank.RouteStream, MaxAttempts: 3, Resumable: true}, []handler{streamEvents(1, 1, "", true), respondRaw(text), streamEvents(2, 2, "", false)}, http.StatusOK, eventText(1, 2), false},
-		"rest, no more":        {banyanplank.RouteSpec{Kind: banyanplank.RouteStream, MaxAttempts: 2, Resumable: true}, []handler{streamEvents(1, 1, "", true), respondRaw(text), streamEvents(2, 2, "", false)}, http.StatusOK, eventText(1, 1), true},
-		"with a prompt":        {banyanplank.RouteSpec{Kind: banyanplank.RouteStream, MaxAttempts: 2, Resumable: true}, []handler{respondRaw(text), streamEvents(1, 2, "", false)}, http.StatusOK, eventText(1, 2), false},
-		"after other calls":    {banyanplank.RouteSpec{Kind: banyanplank.RouteRepeatable, MaxAttempts: 2}, []handler{respond("warm"), respond("warm"), respondRaw(text), respond("ok")}, http.StatusOK, "ok", false},
-		"behind an interim":    {banyanplank.RouteSpec{Kind: banyanplank.RouteRepeatable, MaxAttempts: 2}, []handler{respondRaw("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + text), respond("ok")}, http.StatusOK, "ok", false},
-		"behind a stray reply": {banyanplank.RouteSpec{Kind: banyanplank.RouteRepeatable, MaxAttempts: 2}, []handler{respondRaw("HTTP/1.1 200 OK\r\nId: c0\r\nContent-Length: 2\r\n\r\nno" + text), respond("ok")}, http.StatusOK, "ok", false},
+		"once":                {banyanplank.RouteSpec{Kind: banyanplank.RouteAtMostOnce, MaxAttempts: 2}, []handler{respondRaw(text), respond("ok")}, http.StatusBadGateway, "", false},
+		"repeatable":          {banyanplank.RouteSpec{Kind: banyanplank.RouteRepeatable, MaxAttempts: 2}, []handler{respondRaw(text), respond("ok")}, http.StatusOK, "ok", false},
+		"repeatable, no more": {banyanplank.RouteSpec{Kind: banyanplank.RouteRepeatable, MaxAttempts: 1}, []handler{respondRaw(text), respond("ok")}, http.StatusBadGateway, "", false},
+		"stream":              {banyanplank.RouteSpec{Kind: banyanplank.RouteStream, MaxAttempts: 2, Resumable: true}, []handler{respondRaw(text), streamEvents(1, 2, "", false)}, http.StatusOK, eventText(1, 2), false},
+		"stream, not resumed": {banyanplank.RouteSpec{Kind: banyanplank.RouteStream, MaxAttempts: 2}, []handler{respondRaw(text), streamEvents(1, 2, "", false)}, http.StatusBadGateway, "", false},
+		"rest of a stream":    {banyanplank.RouteSpec{Kind: banyanplank.RouteStream, MaxAttempts: 3, Resumable: true}, []handler{streamEvents(1, 1, "", true), respondRaw(text), streamEvents(2, 2, "", false)}, http.StatusOK, eventText(1, 2), false},
+		"rest, no more":       {banyanplank.RouteSpec{Kind: banyanplank.RouteStream, MaxAttempts: 2, Resumable: true}, []handler{streamEvents(1, 1, "", true), respondRaw(text), streamEvents(2, 2, "", false)}, http.StatusOK, eventText(1, 1), true},
+		"with a prompt":       {banyanplank.RouteSpec{Kind: banyanplank.RouteStream, MaxAttempts: 2, Resumable: true}, []handler{respondRaw(text), streamEvents(1, 2, "", false)}, http.StatusOK, eventText(1, 2), false},
+		"after other calls":   {banyanplank.RouteSpec{Kind: banyanplank.RouteRepeatable, MaxAttempts: 2}, []handler{respond("warm"), respond("warm"), respondRaw(text), respond("ok")}, http.StatusOK, "ok", false},
+		"after an interim":    {banyanplank.RouteSpec{Kind: banyanplank.RouteRepeatable, MaxAttempts: 2}, []handler{respondRaw("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + text), respond("ok")}, http.StatusOK, "ok", false},
+		"after a stray reply": {banyanplank.RouteSpec{Kind: banyanplank.RouteRepeatable, MaxAttempts: 2}, []handler{respondRaw("HTTP/1.1 200 OK\r\nId: c0\r\nContent-Length: 2\r\n\r\nno" + text), respond("ok")}, http.StatusOK, "ok", false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -102,8 +102,8 @@
 	}
 }
 
-// TestResponseWithInvalidStatusReachesNoCaller guards against a response whose status is none
-// and that a caller gets, or for which a caller waits, since it is skipped as an interim one.
+// TestResponseWithInvalidStatusReachesNoCaller guards against a response with an invalid status
+// that a caller gets, or that keeps a caller waiting because it is skipped as an interim one.
 func TestResponseWithInvalidStatusReachesNoCaller(t *testing.T) {
 	behind := "\r\n\r\n" + malformedResponse(okLine, lengthLine)
 	for name, text := range map[string]string{
@@ -134,52 +134,52 @@
 }
 
 // TestResponseWithInvalidFieldNameReachesNoCaller guards against a response with a field name
-// that holds a blank or a control byte. A field that is not recognized may be the one that
-// tells where the body ends, and a line that begins with a blank is joined to the one before.
+// that holds whitespace or a control character. A field that is not recognized may be the one that
+// tells where the body ends, and a line that begins with whitespace is joined to the one before.
 func TestResponseWithInvalidFieldNameReachesNoCaller(t *testing.T) {
 	const chunked = "\r\n\r\n13\r\n" + malformedEvents + "\r\n0\r\n\r\n"
 	const head = okLine + "\r\nId: c1\r\nSeal: s\r\n"
 	for name, text := range map[string]string{
-		"blank inside":                    malformedResponse(okLine, "X Spoiled: v", lengthLine),
-		"blank before the colon":          malformedResponse(okLine, "X-Spoiled : v", lengthLine),
-		"blank first":                     malformedResponse(okLine, " X-Spoiled: v", lengthLine),
-		"blank first, last line":          malformedResponse(okLine, lengthLine, "X-A: b", " X-Spoiled: v"),
-		"blank first, first line":         okLine + "\r\n Id: c1\r\nSeal: s\r\n" + lengthLine + "\r\n\r\n" + malformedEvents,
-		"tab inside":                      malformedResponse(okLine, "X-Spo\tiled: v", lengthLine),
-		"tab before the colon":            malformedResponse(okLine, "X-Spoiled\t: v", lengthLine),
-		"tab first":                       malformedResponse(okLine, "\tX-Spoiled: v", lengthLine),
-		"blank line of a blank":           malformedResponse(okLine, " ", lengthLine),
-		"control byte first":              malformedResponse(okLine, "\x01X-Spoiled: v", lengthLine),
-		"control byte inside":             malformedResponse(okLine, "X-Spo\x01iled: v", lengthLine),
-		"control byte before the colon":   malformedResponse(okLine, "X-Spoiled\x1f: v", lengthLine),
-		"NUL":                             malformedResponse(okLine, "X-Spo\x00iled: v", lengthLine),
-		"DEL":                             malformedResponse(okLine, "X-Spo\x7filed: v", lengthLine),
-		"CR":                              malformedResponse(okLine, "X-Spo\riled: v", lengthLine),
-		"empty":                           malformedResponse(okLine, ": spoiled", lengthLine),
-		"length, blank before the colon":  malformedResponse(okLine, "Content-Length : 19"),
-		"length, blank inside":            malformedResponse(okLine, "Content -Length: 19"),
-		"length, blank first":             malformedResponse(okLine, " Content-Length: 19"),
-		"length, control byte":            malformedResponse(okLine, "Content-Length\x02: 19"),
-		"length, closed":                  malformedResponse(okLine, "Connection: close", "Content-Length : 19"),
-		"chunks, blank before the colon":  head + "Transfer-Encoding : chunked" + chunked,
-		"chunks, blank first":             head + "X-A: b\r\n Transfer-Encoding: chunked" + chunked,
-		"chunks, tab first":               head + "X-A: b\r\n\tTransfer-Encoding: chunked" + chunked,
-		"chunks, length of less":          head + lengthLine + "\r\nTransfer-Encoding : chunked" + chunked,
-		"chunks, control byte":            head + "Transfer-Encoding\x0b: chunked" + chunked,
-		"lines end with LF":               strings.ReplaceAll(malformedResponse(okLine, "X-A: b", " X-Spoiled: v", lengthLine), "\r\n", "\n"),
-		"of an interim response":          "HTTP/1.1 103 Early Hints\r\nX Spoiled: v\r\n\r\n" + malformedResponse(okLine, lengthLine),
-		"of an interim one, blank first":  "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n X-Spoiled: v\r\n\r\n" + malformedResponse(okLine, lengthLine),
-		"declined, blank before a colon":  "HTTP/1.1 503 No\r\nId: c1\r\nNot-Run: 1\r\nX-Spoiled : v\r\nContent-Length: 0\r\n\r\n",
-		"failure, blank before the colon": malformedResponse("HTTP/1.1 404 No", "X-Spoiled : v", lengthLine),
+		"space inside":                       malformedResponse(okLine, "X Spoiled: v", lengthLine),
+		"space before the colon":             malformedResponse(okLine, "X-Spoiled : v", lengthLine),
+		"leading space":                      malformedResponse(okLine, " X-Spoiled: v", lengthLine),
+		"leading space, last line":           malformedResponse(okLine, lengthLine, "X-A: b", " X-Spoiled: v"),
+		"leading space, first line":          okLine + "\r\n Id: c1\r\nSeal: s\r\n" + lengthLine + "\r\n\r\n" + malformedEvents,
+		"tab inside":                         malformedResponse(okLine, "X-Spo\tiled: v", lengthLine),
+		"tab before the colon":               malformedResponse(okLine, "X-Spoiled\t: v", lengthLine),
+		"leading tab":                        malformedResponse(okLine, "\tX-Spoiled: v", lengthLine),
+		"line of a space":                    malformedResponse(okLine, " ", lengthLine),
+		"control character first":            malformedResponse(okLine, "\x01X-Spoiled: v", lengthLine),
+		"control character inside":           malformedResponse(okLine, "X-Spo\x01iled: v", lengthLine),
+		"control character before the colon": malformedResponse(okLine, "X-Spoiled\x1f: v", lengthLine),
+		"NUL":                                malformedResponse(okLine, "X-Spo\x00iled: v", lengthLine),
+		"DEL":                                malformedResponse(okLine, "X-Spo\x7filed: v", lengthLine),
+		"CR":                                 malformedResponse(okLine, "X-Spo\riled: v", lengthLine),
+		"empty":                              malformedResponse(okLine, ": spoiled", lengthLine),
+		"length, space before the colon":     malformedResponse(okLine, "Content-Length : 19"),
+		"length, space inside":               malformedResponse(okLine, "Content -Length: 19"),
+		"length, leading space":              malformedResponse(okLine, " Content-Length: 19"),
+		"length, control character":          malformedResponse(okLine, "Content-Length\x02: 19"),
+		"length, closed":                     malformedResponse(okLine, "Connection: close", "Content-Length : 19"),
+		"chunks, space before the colon":     head + "Transfer-Encoding : chunked" + chunked,
+		"chunks, leading space":              head + "X-A: b\r\n Transfer-Encoding: chunked" + chunked,
+		"chunks, leading tab":                head + "X-A: b\r\n\tTransfer-Encoding: chunked" + chunked,
+		"chunks, length of less":             head + lengthLine + "\r\nTransfer-Encoding : chunked" + chunked,
+		"chunks, control character":          head + "Transfer-Encoding\x0b: chunked" + chunked,
+		"lines end with LF":                  strings.ReplaceAll(malformedResponse(okLine, "X-A: b", " X-Spoiled: v", lengthLine), "\r\n", "\n"),
+		"of an interim response":             "HTTP/1.1 103 Early Hints\r\nX Spoiled: v\r\n\r\n" + malformedResponse(okLine, lengthLine),
+		"of an interim one, leading space":   "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n X-Spoiled: v\r\n\r\n" + malformedResponse(okLine, lengthLine),
+		"declined, space before the colon":   "HTTP/1.1 503 No\r\nId: c1\r\nNot-Run: 1\r\nX-Spoiled : v\r\nContent-Length: 0\r\n\r\n",
+		"failure, space before the colon":    malformedResponse("HTTP/1.1 404 No", "X-Spoiled : v", lengthLine),
 	} {
 		t.Run(name, func(t *testing.T) { checkMalformed(t, text) })
 	}
 }
 
-// TestTrailersReachNoCaller checks that no field behind the body of a response is passed on, as
+// TestTrailersReachNoCaller checks that no field after the body of a response is passed on, as
 // nobody has verified its name.
 func TestTrailersReachNoCaller(t *testing.T) {
-	for name, line := range map[string]string{"valid": "X-Spoiled: v", "blank": "X Spoiled: v", "folded": "X-A: b\r\n X-Spoiled: v"} {
+	for name, line := range map[string]string{"valid": "X-Spoiled: v", "space": "X Spoiled: v", "folded": "X-A: b\r\n X-Spoiled: v"} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			text := okLine + "\r\nId: c1\r\nSeal: s\r\nTrailer: X-Spoiled\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + line + "\r\n\r\n"
@@ -198,10 +198,10 @@
 func TestMalformedResponseOfPeerIsAnError(t *testing.T) {
 	const body = "{}"
 	for name, head := range map[string]string{
-		"status":       "HTTP/1.1 000 None\r\n",
-		"blank":        okLine + "\r\nX A: b\r\n",
-		"blank first":  okLine + "\r\nX-A: b\r\n X-B: c\r\n",
-		"control byte": okLine + "\r\nX\x01A: b\r\n",
+		"status":            "HTTP/1.1 000 None\r\n",
+		"space":             okLine + "\r\nX A: b\r\n",
+		"leading space":     okLine + "\r\nX-A: b\r\n X-B: c\r\n",
+		"control character": okLine + "\r\nX\x01A: b\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/transport/invoker/malformed_test.go
+++ b/transport/invoker/malformed_test.go
@@ -30,8 +30,8 @@
 	is.True(i.Order(t.Context(), banyanplank.Order{}) != nil)
 }
 
-// TestResponseWithInvalidStatusIsNoAnswer guards against a response whose status is none and
-// that a caller gets, or a refusal in one.
+// TestResponseWithInvalidStatusIsNoAnswer guards against a response with an invalid status that
+// is taken for an answer or a refusal.
 func TestResponseWithInvalidStatusIsNoAnswer(t *testing.T) {
 	for name, text := range map[string]string{
 		"000":             "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok",
@@ -50,14 +50,14 @@
 func TestResponseWithInvalidFieldNameIsNoAnswer(t *testing.T) {
 	const okLine, chunks = "HTTP/1.1 200 OK\r\n", "2\r\nok\r\n0\r\n\r\n"
 	for name, text := range map[string]string{
-		"blank inside":              okLine + "X A: b\r\nContent-Length: 2\r\n\r\nok",
-		"blank first":               okLine + "X-A: b\r\n X-B: c\r\nContent-Length: 2\r\n\r\nok",
-		"length, blank":             okLine + "Content-Length : 2\r\n\r\nok",
-		"chunks, blank":             okLine + "Transfer-Encoding : chunked\r\n\r\n" + chunks,
-		"chunks, blank first":       okLine + "X-A: b\r\n Transfer-Encoding: chunked\r\n\r\n" + chunks,
-		"chunks, control byte":      okLine + "Transfer-Encoding\x01: chunked\r\n\r\n" + chunks,
-		"a refusal, with a blank":   "HTTP/1.1 503 No\r\nX-Outcome: not run\r\nX A: b\r\nContent-Length: 0\r\n\r\n",
-		"events, chunks of a blank": okLine + "Content-Type: text/event-stream\r\nTransfer-Encoding : chunked\r\n\r\n" + chunks,
+		"space inside":              okLine + "X A: b\r\nContent-Length: 2\r\n\r\nok",
+		"leading space":             okLine + "X-A: b\r\n X-B: c\r\nContent-Length: 2\r\n\r\nok",
+		"length, space":             okLine + "Content-Length : 2\r\n\r\nok",
+		"chunks, space":             okLine + "Transfer-Encoding : chunked\r\n\r\n" + chunks,
+		"chunks, leading space":     okLine + "X-A: b\r\n Transfer-Encoding: chunked\r\n\r\n" + chunks,
+		"chunks, control character": okLine + "Transfer-Encoding\x01: chunked\r\n\r\n" + chunks,
+		"a refusal, with a space":   "HTTP/1.1 503 No\r\nX-Outcome: not run\r\nX A: b\r\nContent-Length: 0\r\n\r\n",
+		"events, chunks of a space": okLine + "Content-Type: text/event-stream\r\nTransfer-Encoding : chunked\r\n\r\n" + chunks,
 	} {
 		t.Run(name, func(t *testing.T) { checkMalformed(t, text) })
 	}
--- a/transport/requester/requester.go
+++ b/transport/requester/requester.go
@@ -143,11 +143,11 @@
 	return n, err
 }
 
-// beginHead prepares to read a response head of up to maxBytes. Its first bytes may have been
-// read with what came before.
+// beginHead prepares to read a response head of up to maxBytes. Its first bytes may be in the
+// read buffer already.
 func (c *conn) beginHead(maxBytes int) {
 	c.headBytesLeft, c.inHead, c.scanner = maxBytes, true, verifier.Scanner{}
-	// An error is impossible, as no byte has to be read.
+	// Peek returns no error, as it reads nothing.
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
 	c.scanner.Scan(buffered)
 }
--- a/transport/storer/malformed_test.go
+++ b/transport/storer/malformed_test.go
@@ -29,7 +29,7 @@
 }
 
 // TestReplyWithInvalidStatusIsUncertain guards against a write that counts as rejected, though
-// it may have taken effect, since the status of the reply is none.
+// it may have taken effect, since the status of the reply is invalid.
 func TestReplyWithInvalidStatusIsUncertain(t *testing.T) {
 	for name, statusLine := range map[string]string{
 		"000": "HTTP/1.1 000 None", "sign": "HTTP/1.1 +20 OK", "protocol switch": "HTTP/1.1 101 Switching Protocols", "999": "HTTP/1.1 999 Much",
@@ -41,9 +41,9 @@
 }
 
 // TestReplyWithInvalidFieldNameIsUncertain guards against a reply that is used though a name of
-// its fields holds a blank or a control byte.
+// its fields holds whitespace or a control character.
 func TestReplyWithInvalidFieldNameIsUncertain(t *testing.T) {
-	for name, line := range map[string]string{"blank": "X A: b", "blank before the colon": "X-A : b", "blank first": " X-A: b", "tab first": "\tX-A: b", "control byte": "X\x01A: b"} {
+	for name, line := range map[string]string{"space": "X A: b", "space before the colon": "X-A : b", "leading space": " X-A: b", "leading tab": "\tX-A: b", "control character": "X\x01A: b"} {
 		t.Run(name, func(t *testing.T) {
 			checkMalformed(t, "HTTP/1.1 200 OK\r\nETag: \"7\"\r\n"+line+"\r\nContent-Length: 2\r\n\r\nok")
 		})
--- a/transport/verifier/scanner.go
+++ b/transport/verifier/scanner.go
@@ -2,26 +2,26 @@
 
 import "net/http"
 
-// Scanner reads the bytes of a connection up to the end of the head of a final response, and
-// finds what the parsed response doesn't show: a field name that begins with a blank, whose
-// line net/http joins to the one before, and the fields of interim responses. The zero value
-// is ready for use.
+// Scanner checks the field names in the raw bytes of a connection, up to the end of the head of
+// a final response. It finds what the parsed response doesn't show: lines that begin with
+// whitespace, which net/http unfolds into the field before them, and the fields of interim
+// responses. The zero value is ready for use.
 type Scanner struct {
-	// lines counts the lines of the current head that are complete, and column the bytes of the
-	// line that isn't, which begins with first.
+	// lines counts the complete lines of the current head, and column the bytes of the line
+	// that follows, whose first byte is first.
 	lines, column int
 	first         byte
-	// hasVersion is set behind the version in the status line, and class is the first digit of
+	// hasVersion is set after the version in the status line, and class is the first digit of
 	// the status.
 	hasVersion bool
 	class      byte
-	// isValue is set behind the colon of a field.
+	// isValue is set after the colon of a field.
 	isValue     bool
 	isDone      bool
 	isMalformed bool
 }
 
-// Scan scans the next bytes. It ignores those behind the head.
+// Scan scans the next bytes. It ignores those after the head.
 func (s *Scanner) Scan(data []byte) {
 	for _, b := range data {
 		if s.isDone {
@@ -52,7 +52,7 @@
 	}
 }
 
-// scanField looks only for blanks. The parser rejects all other bytes that a name must not
+// scanField looks only for whitespace: the parser rejects all other bytes that a name must not
 // contain.
 func (s *Scanner) scanField(b byte) {
 	switch {
@@ -63,8 +63,8 @@
 	}
 }
 
-// endLine ends a line. An empty one ends the head, which another one follows if it is that of
-// an interim response.
+// endLine ends a line. An empty line ends the head; after that of an interim response, another
+// one follows.
 func (s *Scanner) endLine() {
 	isEmpty := s.column == 0 || s.column == 1 && s.first == '\r'
 	switch {
@@ -77,10 +77,10 @@
 	}
 }
 
-// Err returns [ErrMalformed] if the name of a field contained a blank.
+// Err returns [ErrMalformed] if a field name contained whitespace.
 func (s *Scanner) Err() (err error) {
 	if s.isMalformed {
-		return errBlankName
+		return errNameSpace
 	}
 	return nil
 }
--- a/transport/verifier/scanner_test.go
+++ b/transport/verifier/scanner_test.go
@@ -51,7 +51,7 @@
 		}
 		head, _, _ := bytes.Cut(bytes.ReplaceAll(text, []byte("\r\n"), []byte("\n")), []byte("\n\n"))
 		if isFolded := bytes.Contains(head, []byte("\n ")) || bytes.Contains(head, []byte("\n\t")); isFolded && whole.Err() == nil {
-			t.Error("a name that begins with a blank is valid")
+			t.Error("a name that begins with whitespace is valid")
 		}
 	})
 }
--- a/transport/verifier/transport.go
+++ b/transport/verifier/transport.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Transport is an [http.RoundTripper] whose responses are verified. If one is malformed, the
-// error is [ErrMalformed] and the connection is closed. Over TLS only [Verify] applies.
+// Transport is an [http.RoundTripper] that verifies responses. For a malformed one it closes the
+// connection and returns [ErrMalformed]. Over TLS, folded lines are not detected.
 type Transport struct{ base *http.Transport }
 
 var _ http.RoundTripper = (*Transport)(nil)
@@ -52,7 +52,7 @@
 	}
 	if err != nil {
 		_ = response.Body.Close()
-		// A response without a body has been read, and its connection waits for reuse.
+		// The connection of a response without a body is already idle, and could be reused.
 		if used != nil {
 			_ = used.Close()
 		}
@@ -64,7 +64,7 @@
 // CloseIdleConnections closes the connections that are not in use. [http.Client] calls it.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
-// conn is a connection that scans the heads of responses. The transport reads it in a
+// conn is a connection that scans the heads of responses. The transport reads from it in a
 // goroutine of its own.
 type conn struct {
 	net.Conn
@@ -81,19 +81,19 @@
 	return n, err
 }
 
-// expectResponse tells that the next bytes belong to the response to a new request.
+// expectResponse starts the scan of the response to a new request.
 func (c *conn) expectResponse() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.scanner = Scanner{}
 }
 
-// verify returns [ErrMalformed] unless a valid head has arrived since the request.
+// verify returns [ErrMalformed] unless a valid head has arrived since expectResponse.
 func (c *conn) verify() (err error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if !c.scanner.IsDone() {
-		return errors.Wrap(ErrMalformed, "it began before the request")
+		return errors.Wrap(ErrMalformed, "sent before the request")
 	}
 	return c.scanner.Err()
 }
