Reject transfer encodings of HTTP/1.0

Callers saw (a test with a stand-in): a response of HTTP/1.0 with a Transfer-Encoding was passed on with the sizes of its chunks in the body, which is not the server's, or the call waited until its time limit for a connection that stayed open.

Cause: that of the field names with blanks: the field that frames the body has no effect on the parser, which ignores it in HTTP/1.0 and removes it. HTTP/1.1 tells a recipient to treat the framing of such a message as faulty.

--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -133,6 +133,21 @@
 	}
 }
 
+// TestChunksOfHTTP10ReachNoCaller guards against a body with chunk sizes in it: HTTP/1.0 has no
+// transfer encodings, so the parser ignores the field that announces them.
+func TestChunksOfHTTP10ReachNoCaller(t *testing.T) {
+	const head, chunks = "HTTP/1.0 200 OK\r\nId: c1\r\nSeal: s\r\n", "\r\n\r\n13\r\n" + malformedEvents + "\r\n0\r\n\r\n"
+	for name, text := range map[string]string{
+		"chunks":               head + "Transfer-Encoding: chunked" + chunks,
+		"lower case":           head + "transfer-encoding:chunked" + chunks,
+		"with a length":        head + lengthLine + "\r\nTransfer-Encoding: chunked" + chunks,
+		"kept alive":           head + "Connection: keep-alive\r\nTransfer-Encoding: chunked" + chunks,
+		"after an interim one": "HTTP/1.1 100 Continue\r\n\r\n" + head + "Transfer-Encoding: chunked" + chunks,
+	} {
+		t.Run(name, func(t *testing.T) { checkMalformed(t, text) })
+	}
+}
+
 // TestResponseWithInvalidFieldNameReachesNoCaller guards against a response with a field name
 // that holds whitespace or a control character. A field that is not recognized may be the one that
 // tells where the body ends, and a line that begins with whitespace is joined to the one before.
--- a/transport/verifier/scanner_test.go
+++ b/transport/verifier/scanner_test.go
@@ -18,6 +18,7 @@
 		"HTTP/1.1  200\nX-A : b\n\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nX-A: b\r\n c\r\n\r\n", "HTTP/1.1 200 OK\r\nX-A: b\r\n \r\n\r\n", "HTTP/1.1 200 OK\r\nX-A: b\r\n\t: c\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.0 200 OK\r\nTTransfer-Encoding: x\r\nTransfer-Encodings: x\r\n\r\n",
 		"HTTP/1.1 000 None\r\n\r\n", "HTTP/1.1 +10 None\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\r\n\r\n", "\r\n\r\n", "\n", "",
 	} {
 		f.Add([]byte(text))
--- a/transport/verifier/transport.go
+++ b/transport/verifier/transport.go
@@ -11,7 +11,7 @@
 )
 
 // Transport is an [http.RoundTripper] that verifies responses. For a malformed one it closes the
-// connection and returns [ErrMalformed]. Over TLS, folded lines are not detected.
+// connection and returns [ErrMalformed]. Over TLS only [Verify] applies.
 type Transport struct{ base *http.Transport }
 
 var _ http.RoundTripper = (*Transport)(nil)
--- a/transport/verifier/verifier.go
+++ b/transport/verifier/verifier.go
@@ -17,11 +17,14 @@
 // errNameSpace reports a field name that contains whitespace.
 var errNameSpace = errors.Wrap(ErrMalformed, "whitespace in a field name")
 
+// errEncoding reports a transfer encoding in a response of HTTP/1.0, which has none.
+var errEncoding = errors.Wrap(ErrMalformed, "transfer encoding in HTTP/1.0")
+
 // maxStatus is the upper end of the range of valid status codes.
 const maxStatus = 599
 
 // Verify returns [ErrMalformed] if HTTP doesn't allow the head of a response, which may be an
-// interim one. Folded lines are found only by a [Scanner].
+// interim one. What the parser hides is found only by a [Scanner].
 func Verify(response *http.Response) (err error) {
 	// The parser accepts any three characters that form a non-negative number, such as "000"
 	// and "+20". No request asks to switch protocols.
