--- a/soak/soak.go
+++ b/soak/soak.go
@@ -90,8 +90,8 @@
 	extraRandom *rand.Rand
 	// malformedRandom draws malformed responses.
 	malformedRandom *rand.Rand
-	entries     []*entry
-	slots       []*serverSlot
+	entries         []*entry
+	slots           []*serverSlot
 	// faults, phaseStart and faultFreePhases are used only by the goroutine that runs the
 	// faults.
 	faults          []*Fault
