Report no error for a heartbeat without demand

Cause: entries leave their demand out while no load is known, and the receiver decoded it all the same. The false alarm takes the one line a second that errors of heartbeats have, so real ones can't be seen. The error was not harmless either: what follows it was skipped, so that a heartbeat too large for its demand no longer told that its sender is under load.

Change: each part is decoded on its own, and only if it is there.

TestCalmHeartbeatsAreNoErrors failed before in all four cases.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/banyanplank/banyanplank"
 	"github.com/banyanplank/banyanplank/coordination/balancer"
 	"github.com/banyanplank/banyanplank/coordination/beater"
@@ -212,26 +214,33 @@
 	return now.Sub(heardAt) < loadHeardAge || a.balancer.IsAnyUnderLoad()
 }
 
-// merge applies the heartbeat of a peer.
+// merge applies the heartbeat of a peer. A part that can't be decoded doesn't cost the others.
 func (a *admission) merge(now time.Time, beat *beater.Heartbeat) (err error) {
-	promised, err := promiser.DecodePromised(beat.Promised)
-	if err != nil {
-		return err
+	if beat.IsUnderLoad {
+		a.mutex.Lock()
+		a.loadHeardAt = now
+		a.mutex.Unlock()
 	}
-	if len(promised) > 0 {
+	return errors.CombineErrors(a.mergePromised(now, beat), a.mergeDemand(now, beat))
+}
+
+// mergePromised applies the return times that a peer promised.
+func (a *admission) mergePromised(now time.Time, beat *beater.Heartbeat) (err error) {
+	promised, err := promiser.DecodePromised(beat.Promised)
+	if err == nil && len(promised) > 0 {
 		a.promiser.Merge(now, beat.From, promised)
 	}
-	demand, err := sharer.DecodeDemand(beat.Demand)
-	if err != nil {
-		return err
+	return err
+}
+
+// mergeDemand applies the demand of a peer. Peers leave it out while no load is known.
+func (a *admission) mergeDemand(now time.Time, beat *beater.Heartbeat) (err error) {
+	if len(beat.Demand) == 0 {
+		return nil
 	}
-	if len(beat.Demand) > 0 {
+	demand, err := sharer.DecodeDemand(beat.Demand)
+	if err == nil {
 		a.sharer.Merge(now, beat.From, demand)
 	}
-	if beat.IsUnderLoad {
-		a.mutex.Lock()
-		a.loadHeardAt = now
-		a.mutex.Unlock()
-	}
-	return nil
+	return err
 }
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -150,3 +150,28 @@
 	g.admission.recordSlotTime(other, time.Second)
 	is.Equal(g.admission.cost(other), 1.0)
 }
+
+// TestCalmHeartbeatsAreNoErrors guards against an error for each heartbeat of an entry that
+// leaves its demand out while no load is known: it hides other errors of heartbeats, which are
+// logged once a second.
+func TestCalmHeartbeatsAreNoErrors(t *testing.T) {
+	tests := map[string]struct {
+		beat     beater.Heartbeat
+		failed   bool
+		isLoaded bool
+	}{
+		"calm":                         {beat: beater.Heartbeat{From: "b"}},
+		"too large to tell its demand": {beat: beater.Heartbeat{From: "b", IsUnderLoad: true}, isLoaded: true},
+		"malformed demand":             {beat: beater.Heartbeat{From: "b", Demand: []byte{0}, IsUnderLoad: true}, failed: true, isLoaded: true},
+		"malformed promises":           {beat: beater.Heartbeat{From: "b", Promised: []byte{0}, IsUnderLoad: true}, failed: true, isLoaded: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := newAdmission(balancer.New())
+			err := a.merge(time.Now(), &test.beat)
+			is.Equal(err != nil, test.failed)
+			is.Equal(a.isLoadKnown(time.Now()), test.isLoaded)
+		})
+	}
+}
