Log the store's era and changes that are ignored for their age

Now a line and a counter tell of each later era (Store-Era), of eras that are missing or malformed, with the name of the field, and of changes that are ignored as older; the line of a call has the revision of the configuration beside that of the endpoints. No decision reads the era yet.

--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -50,6 +50,10 @@
 // RemoveCmd requests removing a failed member from the platform's list.
 type RemoveCmd struct{ ID banyanplank.DaemonID }
 
+// EventIgnored is the event of a [Note] on changes that this entry ignores, since they are older
+// than what it knows.
+const EventIgnored = "older changes ignored"
+
 // Note describes a state change for a log line.
 type Note struct {
 	Event string
@@ -89,7 +93,8 @@
 	// KnownEntries is the number of entries that may be running, including this one and those
 	// without recent heartbeats.
 	KnownEntries int
-	Revisions    map[banyanplank.Topic]banyanplank.Version
+	// Revisions holds the revision of the latest change of each topic.
+	Revisions map[banyanplank.Topic]banyanplank.Version
 	// DiscoveryLost reports that at least one topic of the platform can't be followed.
 	DiscoveryLost bool
 	// IsWatcher reports whether this entry watches the platform. The first entry of
@@ -267,6 +272,9 @@
 	}
 	t := m.topic(msg.Topic)
 	if msg.Revision < t.revision {
+		if msg.IsFullList || len(msg.Entries) > 0 {
+			m.logEvent(Note{Event: EventIgnored, Topic: msg.Topic, Revision: msg.Revision, Value: fmt.Sprintf("%d changes older than revision %d", len(msg.Entries), t.revision)})
+		}
 		return false
 	}
 	first := !t.isListed
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -39,7 +39,8 @@
 	relay             *relay
 	beater            *beater.Beater
 	heartbeatSequence atomic.Uint64
-	heartbeatErrors   heartbeatErrors
+	heartbeatErrors   errorLog
+	era               eraState
 	// usage is nil unless requests are counted.
 	usage *usage
 	// urgentBeats is the number of next heartbeats that go to all availability zones.
@@ -111,6 +112,7 @@
 		admission:  newAdmission(d.balancer),
 	}
 	d.gateway.registerGauges()
+	d.registerEraMetrics()
 	d.stepper = stepper.New(ranks, d.stepperFleet, stepper.WithEventHandler(d.logStep), stepper.WithSlowEndpointsHandler(d.recordSlow),
 		stepper.WithZone(settings.Zone), stepper.WithStallDetector(d.balancer.IsStalled))
 	d.loop = banyanplank.NewLoop(model, executor{d}, banyanplank.WithTick(surveyor.TickInterval), banyanplank.WithUpdateHook(d.publish),
@@ -187,6 +189,9 @@
 	if note.Err != nil {
 		line = d.logger.Warn().Err(note.Err)
 	}
+	if note.Event == surveyor.EventIgnored {
+		d.gateway.counters.set.GetOrCreateCounter(fmt.Sprintf("banyanplank_older_changes_ignored_total{topic=%q}", note.Topic)).Inc()
+	}
 	line.Str("topic", string(note.Topic)).Str("key", note.Key).Str("value", note.Value).
 		Uint64("revision", uint64(note.Revision)).Dur("age", note.Age).Dur("confirmed", note.Confirmed).Msg(note.Event)
 }
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -5,7 +5,6 @@
 	"maps"
 	"net/netip"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/banyanplank/banyanplank"
@@ -179,29 +178,3 @@
 	}
 	d.loop.Send(context.Background(), surveyor.HeardMsg{Heartbeat: beat})
 }
-
-// heartbeatErrorInterval is the least time between two log lines about heartbeats. Each host in the
-// network can cause any number of errors, by datagrams that are no heartbeats.
-const heartbeatErrorInterval = time.Second
-
-// heartbeatErrors is the state of the log lines about heartbeats.
-type heartbeatErrors struct {
-	mutex    sync.Mutex
-	loggedAt time.Time
-	// skipped is the number of errors since the last line.
-	skipped int
-}
-
-// logHeartbeatError logs an error of sending or reading a heartbeat. Errors soon after another one
-// are counted in the next line.
-func (d *Daemon) logHeartbeatError(err error) {
-	e, now := &d.heartbeatErrors, time.Now()
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	if now.Sub(e.loggedAt) < heartbeatErrorInterval {
-		e.skipped++
-		return
-	}
-	d.logger.Warn().Err(err).Int("skipped", e.skipped).Msg("heartbeat failed")
-	e.loggedAt, e.skipped = now, 0
-}
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -142,6 +142,7 @@
 	if f.snapshot != nil {
 		line.Uint64("backends_revision", uint64(f.snapshot.Revisions[banyanplank.TopicBackends]))
 		if f.snapshot.Router != nil {
+			line.Uint64("routing_revision", uint64(f.snapshot.Revisions[banyanplank.TopicRouting]))
 			line.Uint64("routing", f.snapshot.Router.Table().Version)
 		}
 	}
