--- a/coordination/beater/beater_test.go
+++ b/coordination/beater/beater_test.go
@@ -81,6 +81,7 @@
 		"truncated port":         encoded(func(p *pulser.Pulse) { p.Peer = p.Peer[:5] }),
 		"lean with address":      encoded(func(p *pulser.Pulse) { p.Lean = true }),
 		"missing count":          encoded(func(p *pulser.Pulse) { p.Endpoints = []string{"x"} }),
+		"missing era":            encoded(func(p *pulser.Pulse) { p.Topics, p.Revisions, p.Eras = []string{"x", "y"}, []uint64{1, 2}, []uint64{1} }),
 		"missing revision":       encoded(func(p *pulser.Pulse) { p.Topics = []string{"x"} }),
 		"missing birth time":     encoded(func(p *pulser.Pulse) { p.Leavers = []string{"x"} }),
 		"missing rate":           encoded(func(p *pulser.Pulse) { p.Limited, p.LimitedBirths, p.Ages = []string{"x"}, []int64{1}, []uint32{1} }),
@@ -113,7 +114,7 @@
 			CannotFollow: rapid.Bool().Draw(t, "blind"),
 			IsWatcher:    rapid.Bool().Draw(t, "watches"),
 			InFlight:     map[banyanplank.BackendID]int{},
-			Revisions:    map[banyanplank.Topic]banyanplank.Version{},
+			Positions:    map[banyanplank.Topic]banyanplank.Position{},
 			ConfirmedAge: time.Duration(rapid.Uint32().Draw(t, "confirmed")) * time.Millisecond,
 		}
 		if rapid.Bool().Draw(t, "demands") {
@@ -122,7 +123,10 @@
 		for _, id := range rapid.SliceOfDistinct(name, func(s string) string { return s }).Draw(t, "endpoints") {
 			sent.InFlight[banyanplank.BackendID(id)] = rapid.IntRange(1, 100).Draw(t, "calls")
 			sent.Slow = append(sent.Slow, banyanplank.BackendID(id))
-			sent.Revisions[banyanplank.Topic(id)] = banyanplank.Version(rapid.Uint64().Draw(t, "revision"))
+			sent.Positions[banyanplank.Topic(id)] = banyanplank.Position{
+				Era:      banyanplank.Era(rapid.Uint64Range(0, 2).Draw(t, "era")),
+				Revision: banyanplank.Version(rapid.Uint64().Draw(t, "revision")),
+			}
 		}
 		for id := range sent.InFlight {
 			born := time.UnixMilli(rapid.Int64Range(0, 1<<45).Draw(t, "born"))
@@ -150,7 +154,7 @@
 		}
 		if rapid.Bool().Draw(t, "lean") {
 			sent = sent.Lean()
-			sent.Revisions = map[banyanplank.Topic]banyanplank.Version{}
+			sent.Positions = map[banyanplank.Topic]banyanplank.Position{}
 		}
 		datagram, err := encode(sent)
 		if err != nil {
@@ -225,7 +229,7 @@
 		From: "front-kathmandu-a-12", Incarnation: 1792411275012886564, Sequence: 400, Zone: "kathmandu-a",
 		Peer: netip.MustParseAddrPort("10.1.0.40:7340"), Caller: netip.MustParseAddrPort("10.1.0.40:8227"),
 		Ready: true, InFlight: map[banyanplank.BackendID]int{"i-0cbe7a5051": 1, "i-6838c98f06": 2},
-		Revisions: map[banyanplank.Topic]banyanplank.Version{"routing": 3000, "backends": 3100, "zonesout": 2000, "members": 2900},
+		Positions: map[banyanplank.Topic]banyanplank.Position{"routing": {Revision: 3000}, "backends": {Revision: 3100}, "zonesout": {Revision: 2000}, "members": {Revision: 2900}},
 	}
 	datagram, err := encode(heartbeat)
 	is.NoErr(err)
@@ -283,7 +287,7 @@
 		{
 			From: "b", Peer: netip.MustParseAddrPort("[fd00::1]:1"), Zone: "z", Ready: true,
 			InFlight: map[banyanplank.BackendID]int{"x": 3}, Slow: []banyanplank.BackendID{"x"},
-			Revisions: map[banyanplank.Topic]banyanplank.Version{"backends": 1 << 63},
+			Positions: map[banyanplank.Topic]banyanplank.Position{"backends": {Revision: 1 << 63}},
 			Findings: []banyanplank.Finding{{Death: 1, Requests: []banyanplank.Fingerprint{1, 2}, RunTimes: []time.Duration{time.Second, 0}, Age: time.Hour},
 				{Kind: banyanplank.FindingConvicted, Requests: []banyanplank.Fingerprint{3}, Remaining: time.Hour}},
 			Leavers: []banyanplank.LeavingBackend{{ID: "x", Born: time.UnixMilli(1)}},
--- a/coordination/beater/heartbeat.go
+++ b/coordination/beater/heartbeat.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,7 +25,7 @@
 	Zone        banyanplank.Zone
 	Peer        netip.AddrPort
 	Caller      netip.AddrPort
-	// IsLean reports whether Zone, Peer, Caller, Revisions and ConfirmedAge are omitted.
+	// IsLean reports whether Zone, Peer, Caller, Positions and ConfirmedAge are omitted.
 	// The values of the first four are those of the sender's last full heartbeat.
 	IsLean bool
 	// Ready reports whether the sender accepts new callers.
@@ -51,11 +52,11 @@
 	// Slow lists the endpoints that slow down their group of ranks, as detected
 	// by the leading entry.
 	Slow []banyanplank.BackendID
-	// Revisions is the revision up to which the sender knows the changes of each
-	// topic.
-	Revisions map[banyanplank.Topic]banyanplank.Version
+	// Positions is the position up to which the sender knows the changes of each
+	// topic. Entries of older builds send no eras.
+	Positions map[banyanplank.Topic]banyanplank.Position
 	// ConfirmedAge is the time since the platform confirmed to the sender that there were
-	// no changes beyond Revisions, or zero if it did not. It has a resolution of 1 ms.
+	// no changes beyond Positions, or zero if it did not. It has a resolution of 1 ms.
 	ConfirmedAge time.Duration
 	// Findings report requests that crash endpoints.
 	Findings []banyanplank.Finding
@@ -68,10 +69,10 @@
 
 // Lean returns a copy of the heartbeat without the fields that receivers know
 // from an earlier heartbeat of the same incarnation: zone, addresses and
-// revisions. Without these, it confirms nothing. The zone stays if it has calls in flight.
+// positions. Without these, it confirms nothing. The zone stays if it has calls in flight.
 func (b *Heartbeat) Lean() (lean *Heartbeat) {
 	compact := *b
-	compact.IsLean, compact.Peer, compact.Caller, compact.Revisions = true, netip.AddrPort{}, netip.AddrPort{}, nil
+	compact.IsLean, compact.Peer, compact.Caller, compact.Positions = true, netip.AddrPort{}, netip.AddrPort{}, nil
 	if len(b.ZoneInFlight) == 0 {
 		compact.Zone = ""
 	}
@@ -118,9 +119,13 @@
 		message.Rates = append(message.Rates, l.PerSecond)
 		message.Ages = append(message.Ages, packAge(l.Age))
 	}
-	for topic, revision := range heartbeat.Revisions {
+	for topic, position := range heartbeat.Positions {
 		message.Topics = append(message.Topics, string(topic))
-		message.Revisions = append(message.Revisions, uint64(revision))
+		message.Revisions = append(message.Revisions, uint64(position.Revision))
+		message.Eras = append(message.Eras, uint64(position.Era))
+	}
+	if !slices.ContainsFunc(message.Eras, func(era uint64) bool { return era > 0 }) {
+		message.Eras = nil
 	}
 	datagram, err = proto.Marshal(message)
 	if err == nil && len(datagram) > maxHeartbeatBytes && len(message.Demand)+len(message.Promised) > 0 {
@@ -194,7 +199,7 @@
 	if err := proto.Unmarshal(datagram, &message); err != nil {
 		return nil, err
 	}
-	if len(message.Endpoints) != len(message.Counts) || len(message.ZoneEndpoints) != len(message.ZoneCounts) || len(message.Topics) != len(message.Revisions) || len(message.Leavers) != len(message.Births) ||
+	if len(message.Endpoints) != len(message.Counts) || len(message.ZoneEndpoints) != len(message.ZoneCounts) || len(message.Topics) != len(message.Revisions) || (len(message.Eras) > 0 && len(message.Eras) != len(message.Topics)) || len(message.Leavers) != len(message.Births) ||
 		len(message.Limited) != len(message.LimitedBirths) || len(message.Limited) != len(message.Rates) || len(message.Limited) != len(message.Ages) {
 		return nil, errors.New("keys and values differ in number")
 	}
@@ -213,7 +218,7 @@
 		Demand:       message.Demand,
 		Promised:     message.Promised,
 		IsUnderLoad:  message.Loaded,
-		Revisions:    make(map[banyanplank.Topic]banyanplank.Version, len(message.Topics)),
+		Positions:    make(map[banyanplank.Topic]banyanplank.Position, len(message.Topics)),
 		Findings:     carrier.DecodeFindings(message.Findings),
 		ConfirmedAge: time.Duration(message.Confirmed) * time.Millisecond,
 	}
@@ -239,7 +244,11 @@
 		})
 	}
 	for i, topic := range message.Topics {
-		heartbeat.Revisions[banyanplank.Topic(topic)] = banyanplank.Version(message.Revisions[i])
+		position := banyanplank.Position{Revision: banyanplank.Version(message.Revisions[i])}
+		if len(message.Eras) > 0 {
+			position.Era = banyanplank.Era(message.Eras[i])
+		}
+		heartbeat.Positions[banyanplank.Topic(topic)] = position
 	}
 	return heartbeat, nil
 }
--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -61,9 +61,9 @@
 	Topic banyanplank.Topic
 	Key   string
 	Value string
-	// Revision is the platform's revision of the new state, and Age the time since
-	// it was requested or last confirmed.
-	Revision banyanplank.Version
+	// Position is the position of the new state in the platform's store, and Age the time
+	// since it was requested or last confirmed.
+	Position banyanplank.Position
 	Age      time.Duration
 	// Confirmed is the time since this entry last confirmed with the platform that it
 	// knew all changes of the topic, without the call that led to the new state.
@@ -93,8 +93,8 @@
 	// KnownEntries is the number of entries that may be running, including this one and those
 	// without recent heartbeats.
 	KnownEntries int
-	// Revisions holds the revision of the latest change of each topic.
-	Revisions map[banyanplank.Topic]banyanplank.Version
+	// Positions holds the position of the latest change of each topic.
+	Positions map[banyanplank.Topic]banyanplank.Position
 	// DiscoveryLost reports that at least one topic of the platform can't be followed.
 	DiscoveryLost bool
 	// IsWatcher reports whether this entry watches the platform. The first entry of
@@ -157,12 +157,12 @@
 
 // topicState is the progress in following a topic.
 type topicState struct {
-	revision banyanplank.Version
-	// changedRevision is the revision of the latest change.
-	changedRevision banyanplank.Version
+	position banyanplank.Position
+	// changedPosition is the position of the latest change.
+	changedPosition banyanplank.Position
 	isListed        bool
 	isLost          bool
-	// confirmedAt is when the platform last had no changes beyond revision.
+	// confirmedAt is when the platform last had no changes beyond position.
 	confirmedAt time.Time
 }
 
@@ -209,7 +209,7 @@
 		changed = m.applyTopic(now, msg)
 	case follower.LostMsg:
 		m.topic(msg.Topic).isLost = true
-		m.logEvent(Note{Event: "topic lost", Topic: msg.Topic, Revision: m.topic(msg.Topic).revision, Err: msg.Err})
+		m.logEvent(Note{Event: "topic lost", Topic: msg.Topic, Position: m.topic(msg.Topic).position, Err: msg.Err})
 	case HeardMsg:
 		changed = m.applyHeartbeat(now, msg.Heartbeat)
 	case RegisteredMsg:
@@ -240,7 +240,7 @@
 		event = "watch started"
 	}
 	routing := m.topic(banyanplank.TopicRouting)
-	m.logEvent(Note{Event: event, Topic: banyanplank.TopicRouting, Revision: routing.revision, Confirmed: routing.unconfirmedFor(now)})
+	m.logEvent(Note{Event: event, Topic: banyanplank.TopicRouting, Position: routing.position, Confirmed: routing.unconfirmedFor(now)})
 }
 
 // logEvent adds a log line to those of this update.
@@ -265,26 +265,31 @@
 	return now.Sub(t.confirmedAt)
 }
 
-// applyTopic applies the new entries of a topic, and ignores older revisions.
+// applyTopic applies the new entries of a topic, and ignores older positions.
 func (m *Model) applyTopic(now time.Time, msg follower.TopicMsg) (changed bool) {
 	if !msg.Relayed {
 		m.outage.recordReached(now)
 	}
 	t := m.topic(msg.Topic)
-	if msg.Revision < t.revision {
+	if msg.Position.IsBefore(t.position) {
 		if msg.IsFullList || len(msg.Entries) > 0 {
-			m.logEvent(Note{Event: EventIgnored, Topic: msg.Topic, Revision: msg.Revision, Value: fmt.Sprintf("%d changes older than revision %d", len(msg.Entries), t.revision)})
+			m.logEvent(Note{Event: EventIgnored, Topic: msg.Topic, Position: msg.Position, Value: fmt.Sprintf("%d changes older than position %s", len(msg.Entries), t.position)})
 		}
 		return false
 	}
 	first := !t.isListed
-	if first || len(msg.Entries) > 0 {
-		t.changedRevision = msg.Revision
+	returned := !first && msg.Position.Era > t.position.Era
+	if first || returned || len(msg.Entries) > 0 {
+		t.changedPosition = msg.Position
 	}
-	t.revision, t.isListed = msg.Revision, true
+	t.isListed = true
+	if returned {
+		m.logReturn(now, msg, t.position)
+	}
+	t.position = msg.Position
 	if t.isLost && !msg.Relayed {
 		t.isLost = false
-		m.logEvent(Note{Event: "topic regained", Topic: msg.Topic, Revision: msg.Revision})
+		m.logEvent(Note{Event: "topic regained", Topic: msg.Topic, Position: msg.Position})
 	}
 	switch msg.Topic {
 	case banyanplank.TopicRouting:
@@ -311,12 +316,21 @@
 		}
 		m.router = router.New(table)
 		m.logEvent(Note{
-			Event: "routing in force", Topic: msg.Topic, Key: e.Key, Revision: msg.Revision, Age: now.Sub(msg.RequestedAt),
+			Event: "routing in force", Topic: msg.Topic, Key: e.Key, Position: msg.Position, Age: now.Sub(msg.RequestedAt),
 			Confirmed: m.topic(msg.Topic).unconfirmedFor(now), Value: formatTable(table),
 		})
 	}
 }
 
+// logReturn logs that the store has returned from an older copy.
+func (m *Model) logReturn(now time.Time, msg follower.TopicMsg, previous banyanplank.Position) {
+	source := "platform"
+	if msg.Relayed {
+		source = "peer"
+	}
+	m.logEvent(Note{Event: "store returned", Topic: msg.Topic, Position: msg.Position, Value: "was at " + previous.String() + ", known from " + source, Age: now.Sub(msg.RequestedAt)})
+}
+
 // expire removes endpoints whose grace has ended, marks entries without recent
 // heartbeats as silent, and maintains the list of members.
 func (m *Model) expire(now time.Time) (changed bool) {
@@ -343,7 +357,7 @@
 	s := &Snapshot{
 		Router:       m.router,
 		ZonesOut:     make(map[banyanplank.Zone]bool, len(m.zonesOut)),
-		Revisions:    make(map[banyanplank.Topic]banyanplank.Version, len(m.topics)),
+		Positions:    make(map[banyanplank.Topic]banyanplank.Position, len(m.topics)),
 		AliveEntries: 1,
 		AliveIDs:     []banyanplank.DaemonID{m.self.ID},
 		KnownEntries: len(m.members) + 1,
@@ -352,7 +366,7 @@
 		s.ZonesOut[zone] = true
 	}
 	for name, t := range m.topics {
-		s.Revisions[name] = t.changedRevision
+		s.Positions[name] = t.changedPosition
 		s.DiscoveryLost = s.DiscoveryLost || t.isLost
 	}
 	s.Backends = m.currentBackends()
--- a/coordination/surveyor/surveyor_test.go
+++ b/coordination/surveyor/surveyor_test.go
@@ -47,7 +47,7 @@
 
 // topicMsg returns a message with the entries of a topic.
 func topicMsg(topic banyanplank.Topic, revision banyanplank.Version, whole bool, entries ...banyanplank.DiscoveryItem) follower.TopicMsg {
-	return follower.TopicMsg{Topic: topic, Revision: revision, IsFullList: whole, Entries: entries, RequestedAt: startTime}
+	return follower.TopicMsg{Topic: topic, Position: banyanplank.Position{Revision: revision}, IsFullList: whole, Entries: entries, RequestedAt: startTime}
 }
 
 // backendEntry returns the discovery entry of an endpoint.
--- a/coordination/surveyor/topics.go
+++ b/coordination/surveyor/topics.go
@@ -17,29 +17,29 @@
 		id := banyanplank.BackendID(e.Key)
 		backend, ok := e.Value.(banyanplank.Backend)
 		if !ok {
-			m.removeBackend(now, id, msg.Revision)
+			m.removeBackend(now, id, msg.Position)
 			continue
 		}
 		present[id] = true
-		m.addBackend(backend, msg.Revision)
+		m.addBackend(backend, msg.Position)
 	}
 	if !msg.IsFullList {
 		return
 	}
 	for id := range m.backends {
 		if !present[id] {
-			m.removeBackend(now, id, msg.Revision)
+			m.removeBackend(now, id, msg.Position)
 		}
 	}
 }
 
 // addBackend adds or updates an endpoint.
-func (m *Model) addBackend(backend banyanplank.Backend, revision banyanplank.Version) {
+func (m *Model) addBackend(backend banyanplank.Backend, position banyanplank.Position) {
 	old := m.backends[backend.ID]
 	m.backends[backend.ID] = &backendState{backend: backend}
 	if old == nil || old.backend.Leaving != backend.Leaving || old.backend.Address != backend.Address ||
 		old.backend.ColdStartLeft != backend.ColdStartLeft || !old.backend.Born.Equal(backend.Born) {
-		m.logEvent(Note{Event: "endpoint", Topic: banyanplank.TopicBackends, Key: string(backend.ID), Revision: revision, Value: formatBackend(backend)})
+		m.logEvent(Note{Event: "endpoint", Topic: banyanplank.TopicBackends, Key: string(backend.ID), Position: position, Value: formatBackend(backend)})
 	}
 }
 
@@ -61,7 +61,7 @@
 }
 
 // removeBackend removes an endpoint, or marks it as missing if it has a grace period.
-func (m *Model) removeBackend(now time.Time, id banyanplank.BackendID, revision banyanplank.Version) {
+func (m *Model) removeBackend(now time.Time, id banyanplank.BackendID, position banyanplank.Position) {
 	b := m.backends[id]
 	if b == nil {
 		return
@@ -69,12 +69,12 @@
 	if m.outage.hasGrace(now) && !b.backend.Leaving {
 		if b.missingSince.IsZero() {
 			b.missingSince = now
-			m.logEvent(Note{Event: "endpoint missing", Topic: banyanplank.TopicBackends, Key: string(id), Revision: revision})
+			m.logEvent(Note{Event: "endpoint missing", Topic: banyanplank.TopicBackends, Key: string(id), Position: position})
 		}
 		return
 	}
 	delete(m.backends, id)
-	m.logEvent(Note{Event: "endpoint gone", Topic: banyanplank.TopicBackends, Key: string(id), Revision: revision})
+	m.logEvent(Note{Event: "endpoint gone", Topic: banyanplank.TopicBackends, Key: string(id), Position: position})
 }
 
 // applyZonesOut applies changes of the availability zones out of service.
@@ -107,5 +107,5 @@
 	} else {
 		delete(m.zonesOut, zone)
 	}
-	m.logEvent(Note{Event: event, Topic: msg.Topic, Key: string(zone), Revision: msg.Revision, Age: now.Sub(msg.RequestedAt)})
+	m.logEvent(Note{Event: event, Topic: msg.Topic, Key: string(zone), Position: msg.Position, Age: now.Sub(msg.RequestedAt)})
 }
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -47,12 +47,12 @@
 	urgentBeats atomic.Int32
 	// findingsChanged holds a token when findings may have changed since they were saved.
 	findingsChanged chan struct{}
-	// announced holds the topic revisions that the heartbeats to other zones last
+	// announced holds the topic positions that the heartbeats to other zones last
 	// carried, and the time since which they carry them. Only the goroutine that
 	// composes heartbeats uses it.
 	announced struct {
 		since     time.Time
-		revisions map[banyanplank.Topic]banyanplank.Version
+		positions map[banyanplank.Topic]banyanplank.Position
 	}
 	slowReports slowReports
 	directory   http.Handler
@@ -171,10 +171,10 @@
 func (e executor) Execute(ctx context.Context, command banyanplank.Command) (msg banyanplank.Msg) {
 	switch c := command.(type) {
 	case surveyor.RegisterCmd:
-		revision, err := e.discovery.Register(ctx, c.Member)
+		position, err := e.discovery.Register(ctx, c.Member)
 		// Of two entries that start together, the one that registers last has to see
 		// the other.
-		e.follower.RecordHint(banyanplank.TopicMembers, revision)
+		e.follower.RecordHint(banyanplank.TopicMembers, position)
 		return surveyor.RegisteredMsg{Err: err}
 	case surveyor.RemoveCmd:
 		err := e.discovery.Remove(ctx, c.ID)
@@ -193,7 +193,7 @@
 		d.gateway.counters.set.GetOrCreateCounter(fmt.Sprintf("banyanplank_older_changes_ignored_total{topic=%q}", note.Topic)).Inc()
 	}
 	line.Str("topic", string(note.Topic)).Str("key", note.Key).Str("value", note.Value).
-		Uint64("revision", uint64(note.Revision)).Dur("age", note.Age).Dur("confirmed", note.Confirmed).Msg(note.Event)
+		Uint64("era", uint64(note.Position.Era)).Uint64("revision", uint64(note.Position.Revision)).Dur("age", note.Age).Dur("confirmed", note.Confirmed).Msg(note.Event)
 }
 
 // logPanic logs and counts a panic of the control state, with the type of the message
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -111,8 +111,8 @@
 // from earlier ones.
 func (d *Daemon) isLean(snapshot *surveyor.Snapshot, sequence uint64) bool {
 	now := time.Now()
-	if d.announced.since.IsZero() || !maps.Equal(d.announced.revisions, snapshot.Revisions) {
-		d.announced.since, d.announced.revisions = now, snapshot.Revisions
+	if d.announced.since.IsZero() || !maps.Equal(d.announced.positions, snapshot.Positions) {
+		d.announced.since, d.announced.positions = now, snapshot.Positions
 	}
 	return now.Sub(d.announced.since) > fullBeatPeriod && sequence/localBeatsPerRemote%remoteBeatsPerFull != 0
 }
@@ -131,7 +131,7 @@
 		IsWatcher:    snapshot.IsWatcher,
 		InFlight:     d.balancer.InFlight(),
 		Slow:         d.slowEndpoints(),
-		Revisions:    snapshot.Revisions,
+		Positions:    snapshot.Positions,
 		ConfirmedAge: d.confirmedAge(),
 		Findings:     d.gateway.crashTracker.SharedFindings(time.Now()),
 		Leavers:      d.balancer.LeavingEndpoints(),
@@ -165,16 +165,30 @@
 		d.gateway.recordLeaving(l, "entry "+string(beat.From))
 	}
 	if !beat.IsLean {
-		d.relay.recordRevisions(beat.Peer, beat.Revisions)
+		d.relay.recordPositions(beat.Peer, beat.Positions)
 	}
-	for topic, revision := range beat.Revisions {
+	for topic, position := range beat.Positions {
 		// Peers report their membership by their heartbeats.
 		if topic != banyanplank.TopicMembers {
-			d.follower.RecordHint(topic, revision)
+			d.follower.RecordHint(topic, position)
 		}
 	}
-	if beat.ConfirmedAge > 0 {
+	if beat.ConfirmedAge > 0 && d.knowsEras(beat) {
 		d.follower.RecordConfirmation(time.Now().Add(-beat.ConfirmedAge))
 	}
 	d.loop.Send(context.Background(), surveyor.HeardMsg{Heartbeat: beat})
 }
+
+// knowsEras reports whether the sender of a heartbeat can name changes of the era of the store. One
+// of an older build names no eras, so that this entry knows of none of its changes.
+func (d *Daemon) knowsEras(beat *beater.Heartbeat) (ok bool) {
+	if d.era.latest.Load() == 0 {
+		return true
+	}
+	for _, position := range beat.Positions {
+		if position.Era > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/gateway/heartbeat_test.go
+++ b/gateway/heartbeat_test.go
@@ -36,7 +36,7 @@
 					follower: follower.New(nil, nil),
 					gateway:  &Gateway{crashTracker: suspecter.NewCrashTracker(), admission: newAdmission(balancer.New())},
 				}
-				snapshot := &surveyor.Snapshot{Revisions: map[banyanplank.Topic]banyanplank.Version{banyanplank.TopicRouting: 1}}
+				snapshot := &surveyor.Snapshot{Positions: map[banyanplank.Topic]banyanplank.Position{banyanplank.TopicRouting: {Revision: 1}}}
 				for i := 1; i < entries; i++ {
 					snapshot.Peers = append(snapshot.Peers, banyanplank.Member{Zone: banyanplank.Zone('a' + rune(i%5)), PeerAddress: netip.MustParseAddrPort("10.0.0.2:1")})
 				}
@@ -51,7 +51,7 @@
 						switch {
 						case len(remotePeers) == 0:
 						case remote.IsLean:
-							is.Equal(len(remote.Revisions), 0)
+							is.Equal(len(remote.Positions), 0)
 							lean++
 						default:
 							full++
@@ -64,7 +64,7 @@
 				is.True(2*lean > 3*full)
 				is.True(full >= 27) // one per 2.2 s
 				next := *snapshot
-				next.Revisions = map[banyanplank.Topic]banyanplank.Version{banyanplank.TopicRouting: 2}
+				next.Positions = map[banyanplank.Topic]banyanplank.Position{banyanplank.TopicRouting: {Revision: 2}}
 				d.snapshot.Store(&next)
 				run(fullBeatPeriod)
 				is.Equal(lean, 0)
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -230,7 +230,7 @@
 			is.True(err != nil)
 			_, err = d.usage.Send(t.Context(), "b", &collector.Message{})
 			is.True(err != nil)
-			d.relay.recordRevisions(r.Address(), map[banyanplank.Topic]banyanplank.Version{banyanplank.TopicRouting: 3})
+			d.relay.recordPositions(r.Address(), map[banyanplank.Topic]banyanplank.Position{banyanplank.TopicRouting: {Revision: 3}})
 			_, _, err = d.relay.FetchTopic(t.Context(), banyanplank.TopicRouting)
 			is.True(err != nil)
 		})
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -140,9 +140,10 @@
 		line.Stringer("request", f.fingerprint)
 	}
 	if f.snapshot != nil {
-		line.Uint64("backends_revision", uint64(f.snapshot.Revisions[banyanplank.TopicBackends]))
+		backends, routing := f.snapshot.Positions[banyanplank.TopicBackends], f.snapshot.Positions[banyanplank.TopicRouting]
+		line.Uint64("backends_era", uint64(backends.Era)).Uint64("backends_revision", uint64(backends.Revision))
 		if f.snapshot.Router != nil {
-			line.Uint64("routing_revision", uint64(f.snapshot.Revisions[banyanplank.TopicRouting]))
+			line.Uint64("routing_era", uint64(routing.Era)).Uint64("routing_revision", uint64(routing.Revision))
 			line.Uint64("routing", f.snapshot.Router.Table().Version)
 		}
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -32,7 +32,7 @@
 // topicState is the state of one topic as an entry sends it to a peer. Only the
 // fields of that topic are set.
 type topicState struct {
-	Revision banyanplank.Version       `json:"revision"`
+	banyanplank.Position
 	Table    *banyanplank.RoutingTable `json:"table,omitempty"`
 	Backends []banyanplank.Backend     `json:"backends,omitempty"`
 	Out      []banyanplank.Zone        `json:"out,omitempty"`
@@ -65,14 +65,14 @@
 	// usage is nil unless requests are counted.
 	usage *usage
 	mutex sync.Mutex
-	// newest is the peer with the highest revision of each topic.
-	newest map[banyanplank.Topic]peerRevision
+	// newest is the peer with the latest position of each topic.
+	newest map[banyanplank.Topic]peerPosition
 }
 
-// peerRevision is the revision of a topic that a peer has.
-type peerRevision struct {
+// peerPosition is the position of a topic that a peer has.
+type peerPosition struct {
 	peer     netip.AddrPort
-	revision banyanplank.Version
+	position banyanplank.Position
 }
 
 // newRelay returns a relay that serves the snapshots of this entry.
@@ -80,7 +80,7 @@
 	return &relay{
 		snapshot: snapshot,
 		client:   &http.Client{Timeout: relayTimeout, Transport: verifier.NewTransport(http.DefaultTransport.(*http.Transport).Clone())},
-		newest:   make(map[banyanplank.Topic]peerRevision),
+		newest:   make(map[banyanplank.Topic]peerPosition),
 	}
 }
 
@@ -99,18 +99,18 @@
 		// An error means that the connection is closed, which the next write reports.
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(topicWriteTimeout))
 		snapshot, topic := r.snapshot(), banyanplank.Topic(params.ByName("topic"))
-		revision, known := snapshot.Revisions[topic]
+		position, known := snapshot.Positions[topic]
 		if !known || snapshot.Router == nil {
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		state := topicState{Revision: revision}
+		state := topicState{Position: position}
 		switch topic {
 		case banyanplank.TopicRouting:
 			state.Table = snapshot.Router.Table()
 		case banyanplank.TopicBackends:
 			// A peer that got a missing endpoint would not learn that it has left: that
-			// change is not later than the revision.
+			// change is not later than the position.
 			for _, b := range snapshot.Backends {
 				if !snapshot.Missing[b.ID] {
 					state.Backends = append(state.Backends, b)
@@ -130,42 +130,42 @@
 	return router
 }
 
-// recordRevisions records the topic revisions of a peer where they are the highest
+// recordPositions records the topic positions of a peer where they are the latest
 // known.
-func (r *relay) recordRevisions(peer netip.AddrPort, revisions map[banyanplank.Topic]banyanplank.Version) {
+func (r *relay) recordPositions(peer netip.AddrPort, positions map[banyanplank.Topic]banyanplank.Position) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	for topic, revision := range revisions {
-		if revision >= r.newest[topic].revision {
-			r.newest[topic] = peerRevision{peer: peer, revision: revision}
+	for topic, position := range positions {
+		if !position.IsBefore(r.newest[topic].position) {
+			r.newest[topic] = peerPosition{peer: peer, position: position}
 		}
 	}
 }
 
 // FetchTopic implements follower.Peers.
-func (r *relay) FetchTopic(ctx context.Context, topic banyanplank.Topic) (entries []banyanplank.DiscoveryItem, revision banyanplank.Version, err error) {
+func (r *relay) FetchTopic(ctx context.Context, topic banyanplank.Topic) (entries []banyanplank.DiscoveryItem, position banyanplank.Position, err error) {
 	defer func() { err = errors.Wrapf(err, "request topic %s from peer", topic) }()
 	r.mutex.Lock()
 	source := r.newest[topic]
 	r.mutex.Unlock()
 	if !source.peer.IsValid() {
-		return nil, 0, errors.New("no peer has reported a revision of the topic")
+		return nil, position, errors.New("no peer has reported a revision of the topic")
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+source.peer.String()+"/v1/topics/"+string(topic), nil)
 	if err != nil {
-		return nil, 0, err
+		return nil, position, err
 	}
 	response, err := r.client.Do(request)
 	if err != nil {
-		return nil, 0, err
+		return nil, position, err
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return nil, 0, errors.Newf("peer responded with status %d", response.StatusCode)
+		return nil, position, errors.Newf("peer responded with status %d", response.StatusCode)
 	}
 	var state topicState
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxTopicBytes)).Decode(&state); err != nil {
-		return nil, 0, err
+		return nil, position, err
 	}
-	return state.entries(topic), state.Revision, nil
+	return state.entries(topic), state.Position, nil
 }
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -28,7 +28,7 @@
 	backend := banyanplank.Backend{ID: "i-1", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Leaving: true, Born: time.UnixMilli(5).UTC()}
 	snapshot := &surveyor.Snapshot{
 		Router: router.New(table), Backends: []banyanplank.Backend{backend}, ZonesOut: map[banyanplank.Zone]bool{"a": true},
-		Revisions: map[banyanplank.Topic]banyanplank.Version{banyanplank.TopicRouting: 20, banyanplank.TopicBackends: 21, banyanplank.TopicZonesOut: 22},
+		Positions: map[banyanplank.Topic]banyanplank.Position{banyanplank.TopicRouting: {Revision: 20}, banyanplank.TopicBackends: {Revision: 21}, banyanplank.TopicZonesOut: {Revision: 22}},
 	}
 	server := httptest.NewServer(newRelay(func() *surveyor.Snapshot { return snapshot }).handler())
 	defer server.Close()
@@ -37,13 +37,13 @@
 
 	_, _, err := asking.FetchTopic(t.Context(), banyanplank.TopicRouting)
 	is.True(err != nil) // no peer is known
-	asking.recordRevisions(netip.MustParseAddrPort("127.0.0.1:1"), map[banyanplank.Topic]banyanplank.Version{banyanplank.TopicRouting: 3})
-	asking.recordRevisions(peer, snapshot.Revisions)
-	asking.recordRevisions(netip.MustParseAddrPort("127.0.0.1:1"), map[banyanplank.Topic]banyanplank.Version{banyanplank.TopicRouting: 3})
+	asking.recordPositions(netip.MustParseAddrPort("127.0.0.1:1"), map[banyanplank.Topic]banyanplank.Position{banyanplank.TopicRouting: {Revision: 3}})
+	asking.recordPositions(peer, snapshot.Positions)
+	asking.recordPositions(netip.MustParseAddrPort("127.0.0.1:1"), map[banyanplank.Topic]banyanplank.Position{banyanplank.TopicRouting: {Revision: 3}})
 
-	entries, revision, err := asking.FetchTopic(t.Context(), banyanplank.TopicRouting)
+	entries, position, err := asking.FetchTopic(t.Context(), banyanplank.TopicRouting)
 	is.NoErr(err)
-	is.Equal(revision, banyanplank.Version(20))
+	is.Equal(position, banyanplank.Position{Revision: 20})
 	is.Equal(entries, []banyanplank.DiscoveryItem{{Key: "peer", Value: table}})
 	entries, _, err = asking.FetchTopic(t.Context(), banyanplank.TopicBackends)
 	is.NoErr(err)
@@ -60,7 +60,7 @@
 	server := httptest.NewServer(newRelay(func() *surveyor.Snapshot { return &surveyor.Snapshot{} }).handler())
 	defer server.Close()
 	asking := newRelay(nil)
-	asking.recordRevisions(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), map[banyanplank.Topic]banyanplank.Version{banyanplank.TopicRouting: 3})
+	asking.recordPositions(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), map[banyanplank.Topic]banyanplank.Position{banyanplank.TopicRouting: {Revision: 3}})
 	_, _, err := asking.FetchTopic(t.Context(), banyanplank.TopicRouting)
 	is.True(err != nil)
 }
--- a/gateway/testfleet_test.go
+++ b/gateway/testfleet_test.go
@@ -98,44 +98,44 @@
 }
 
 // call waits for changes, and for the end of its time limit if the entry gets no answer.
-func (c *testStoreClient) call(ctx context.Context, topic banyanplank.Topic, after banyanplank.Version, wait time.Duration) (entries []banyanplank.DiscoveryItem, revision banyanplank.Version, err error) {
+func (c *testStoreClient) call(ctx context.Context, topic banyanplank.Topic, after banyanplank.Position, wait time.Duration) (entries []banyanplank.DiscoveryItem, position banyanplank.Position, err error) {
 	c.store.countCall(c.id, topic)
 	ctx, cancel := context.WithTimeout(ctx, wait+testStoreTimeout)
 	defer cancel()
 	elapsed := time.After(wait)
 	for {
-		entries, revision, changed, silent := c.store.changesSince(c.id, topic, after)
+		entries, revision, changed, silent := c.store.changesSince(c.id, topic, after.Revision)
 		if silent {
 			<-ctx.Done()
-			return nil, 0, ctx.Err()
+			return nil, position, ctx.Err()
 		}
 		if len(entries) > 0 || wait == 0 {
-			return entries, revision, nil
+			return entries, banyanplank.Position{Revision: revision}, nil
 		}
 		select {
 		case <-changed:
 		case <-elapsed:
 			wait = 0
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, position, ctx.Err()
 		}
 	}
 }
 
-func (c *testStoreClient) List(ctx context.Context, topic banyanplank.Topic) (entries []banyanplank.DiscoveryItem, revision banyanplank.Version, err error) {
-	return c.call(ctx, topic, 0, 0)
+func (c *testStoreClient) List(ctx context.Context, topic banyanplank.Topic) (entries []banyanplank.DiscoveryItem, position banyanplank.Position, err error) {
+	return c.call(ctx, topic, banyanplank.Position{}, 0)
 }
 
-func (c *testStoreClient) Changes(ctx context.Context, topic banyanplank.Topic, after banyanplank.Version, wait time.Duration) (entries []banyanplank.DiscoveryItem, revision banyanplank.Version, err error) {
+func (c *testStoreClient) Changes(ctx context.Context, topic banyanplank.Topic, after banyanplank.Position, wait time.Duration) (entries []banyanplank.DiscoveryItem, position banyanplank.Position, err error) {
 	return c.call(ctx, topic, after, wait)
 }
 
-func (c *testStoreClient) Peek(ctx context.Context, topic banyanplank.Topic, after banyanplank.Version) (entries []banyanplank.DiscoveryItem, revision banyanplank.Version, err error) {
+func (c *testStoreClient) Peek(ctx context.Context, topic banyanplank.Topic, after banyanplank.Position) (entries []banyanplank.DiscoveryItem, position banyanplank.Position, err error) {
 	return c.call(ctx, topic, after, 0)
 }
 
-func (c *testStoreClient) Register(_ context.Context, member banyanplank.Member) (revision banyanplank.Version, err error) {
-	return c.store.put(banyanplank.TopicMembers, string(member.ID), member), nil
+func (c *testStoreClient) Register(_ context.Context, member banyanplank.Member) (position banyanplank.Position, err error) {
+	return banyanplank.Position{Revision: c.store.put(banyanplank.TopicMembers, string(member.ID), member)}, nil
 }
 
 func (c *testStoreClient) Remove(_ context.Context, id banyanplank.DaemonID) (err error) {
--- a/state/follower/cursor.go
+++ b/state/follower/cursor.go
@@ -34,7 +34,7 @@
 	isWatcher    func() bool
 	// needsConfirmation is set if changes must be known soon after they are made.
 	needsConfirmation bool
-	revision          banyanplank.Version
+	position          banyanplank.Position
 	calledAt          time.Time
 	// hadChanges is set if the last watch returned changes.
 	hadChanges bool
@@ -64,24 +64,31 @@
 	}
 	msg := TopicMsg{Topic: c.topic, IsFullList: !c.isListed, Resumed: c.isLost, RequestedAt: time.Now()}
 	isCurrent := true
+	hinted := c.hintedPosition(c.hint)
 	switch {
 	case !c.isListed:
-		msg.Entries, msg.Revision, err = c.discovery.List(ctx, c.topic)
+		msg.Entries, msg.Position, err = c.discovery.List(ctx, c.topic)
 		wait = 0
 	case !watches:
-		msg.Entries, msg.Revision, isCurrent, err = c.fetchCurrent(ctx)
+		msg.Entries, msg.Position, isCurrent, err = c.fetchCurrent(ctx)
 	default:
-		msg.Entries, msg.Revision, err = c.discovery.Changes(ctx, c.topic, c.revision, wait)
+		msg.Entries, msg.Position, err = c.discovery.Changes(ctx, c.topic, c.position, wait)
 	}
 	if err != nil {
 		return err
 	}
+	if msg.Position.Era < c.position.Era {
+		return errors.Wrapf(banyanplank.ErrUnavailable, "response at %s is older than %s", msg.Position, c.position)
+	}
+	if msg.IsFullList {
+		c.refuteHint(hinted, msg.Position)
+	}
 	if isCurrent {
 		msg.ConfirmedAt = confirmationTime(c.calledAt, wait)
 		c.confirm(msg.ConfirmedAt)
 	}
 	c.hadChanges = watches && len(msg.Entries) > 0
-	c.revision, c.isListed, c.isLost = msg.Revision, true, false
+	c.position, c.isListed, c.isLost = msg.Position, true, false
 	c.markRecovered()
 	c.send(msg)
 	return nil
@@ -125,20 +132,25 @@
 	return time.Since(c.peerConfirmation) >= maxUnconfirmed
 }
 
-// fetchCurrent returns the changes at least up to the revision that peers are known to
+// fetchCurrent returns the changes at least up to the position that peers are known to
 // have, and whether they are all changes at the time of the call. Without a confirmation of
 // late, or after failed calls, the cheap call shows first whether the platform answers at all.
-func (c *cursor) fetchCurrent(ctx context.Context) (entries []banyanplank.DiscoveryItem, revision banyanplank.Version, isCurrent bool, err error) {
+// It makes no call if a peer knows a later era.
+func (c *cursor) fetchCurrent(ctx context.Context) (entries []banyanplank.DiscoveryItem, position banyanplank.Position, isCurrent bool, err error) {
 	unconfirmed := c.isUnconfirmed()
-	entries, revision, err = c.discovery.Peek(ctx, c.topic, c.revision)
-	if err == nil && !unconfirmed && revision >= max(c.revision, c.hintedRevision(c.hint)) {
-		return entries, revision, false, nil
+	hinted := c.hintedPosition(c.hint)
+	if hinted.Era > c.position.Era && !unconfirmed {
+		return nil, banyanplank.Position{}, false, errors.Mark(banyanplank.ErrNewEra, banyanplank.ErrCompacted)
+	}
+	entries, position, err = c.discovery.Peek(ctx, c.topic, c.position)
+	if err == nil && !unconfirmed && !position.IsBefore(c.position.Later(hinted)) {
+		return entries, position, false, nil
 	}
 	if err != nil && (unconfirmed || c.isLost || errors.Is(err, banyanplank.ErrCompacted)) {
-		return nil, 0, false, err
+		return nil, banyanplank.Position{}, false, err
 	}
-	entries, revision, err = c.discovery.Changes(ctx, c.topic, c.revision, 0)
-	return entries, revision, err == nil, err
+	entries, position, err = c.discovery.Changes(ctx, c.topic, c.position, 0)
+	return entries, position, err == nil, err
 }
 
 // isDue reports whether to call the platform without a hint: at each poll interval, after a
@@ -151,11 +163,24 @@
 	return time.Since(c.calledAt) >= interval || c.isUnconfirmed()
 }
 
+// refuteHint forgets a hint of a later era than that of a list which the platform returned
+// afterwards. Peers repeat it if it is true.
+func (c *cursor) refuteHint(hinted, listed banyanplank.Position) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if hinted.Era > listed.Era && c.hint.position == hinted {
+		c.hint.position = listed
+	}
+}
+
+// isBehindHint reports whether a peer knows changes that this daemon doesn't.
+func (c *cursor) isBehindHint() (behind bool) { return c.position.IsBefore(c.hintedPosition(c.hint)) }
+
 // awaitHint waits until there are changes to fetch, a call is due, or this daemon has to watch.
 func (c *cursor) awaitHint(ctx context.Context) {
 	ticker := time.NewTicker(watchCheckInterval)
 	defer ticker.Stop()
-	for c.hintedRevision(c.hint) <= c.revision && !c.isDue() && !c.isWatcher() {
+	for !c.isBehindHint() && !c.isDue() && !c.isWatcher() {
 		select {
 		case <-ctx.Done():
 			return
@@ -170,6 +195,10 @@
 // handleError reports an error and backs off. Compacted history needs a new list, unless
 // a peer that confirms its state has the missing changes, and no backoff.
 func (c *cursor) handleError(ctx context.Context, err error) {
+	if errors.Is(err, banyanplank.ErrNewEra) {
+		c.isListed = c.catchUpWithEra(ctx)
+		return
+	}
 	if errors.Is(err, banyanplank.ErrCompacted) {
 		c.isListed = !c.isWatcher() && !c.isUnconfirmed() && c.catchUp(ctx)
 		return
@@ -231,27 +260,53 @@
 
 // catchUpIfBehind catches up from a peer if hints report newer changes.
 func (c *cursor) catchUpIfBehind(ctx context.Context) {
-	if c.hintedRevision(c.hint) <= c.revision {
-		return
+	if c.isBehindHint() {
+		c.catchUp(ctx)
+	}
+}
+
+// catchUpWithEra waits for a random part of [newEraDelay], and reports whether this daemon has
+// caught up with a new era of the store from a peer. One that watches has to list the topic.
+func (c *cursor) catchUpWithEra(ctx context.Context) (caughtUp bool) {
+	for range peerAttempts {
+		if banyanplank.Sleep(ctx, rand.N(newEraDelay)) != nil || c.isWatcher() || c.isUnconfirmed() {
+			return false
+		}
+		era := c.position.Era
+		if err := c.fetchFromPeer(ctx); err == nil && c.position.Era > era && !c.isBehindHint() {
+			return true
+		}
 	}
-	c.catchUp(ctx)
+	return false
 }
 
 // catchUp fetches a topic from a peer and reports whether this daemon now knows it up to
-// the hinted revision.
+// the hinted position.
 func (c *cursor) catchUp(ctx context.Context) (caughtUp bool) {
 	if c.peers == nil {
 		return false
 	}
-	calledAt := time.Now()
-	entries, revision, err := c.peers.FetchTopic(ctx, c.topic)
-	switch {
-	case err != nil:
+	if err := c.fetchFromPeer(ctx); err != nil {
 		c.send(LostMsg{Topic: c.topic, Err: err})
 		return false
-	case revision > c.revision:
-		c.revision, c.isListed = revision, true
-		c.send(TopicMsg{Topic: c.topic, Entries: entries, Revision: revision, IsFullList: true, Relayed: true, RequestedAt: calledAt})
 	}
-	return c.hintedRevision(c.hint) <= c.revision
+	return !c.isBehindHint()
+}
+
+// errNoPeers means that there are no peers to ask.
+var errNoPeers = errors.New("no peers")
+
+// fetchFromPeer fetches a topic from a peer, and sends it if the peer is ahead.
+func (c *cursor) fetchFromPeer(ctx context.Context) (err error) {
+	if c.peers == nil {
+		return errNoPeers
+	}
+	calledAt := time.Now()
+	entries, position, err := c.peers.FetchTopic(ctx, c.topic)
+	if err != nil || !c.position.IsBefore(position) {
+		return err
+	}
+	c.position, c.isListed = position, true
+	c.send(TopicMsg{Topic: c.topic, Entries: entries, Position: position, IsFullList: true, Relayed: true, RequestedAt: calledAt})
+	return nil
 }
--- a/state/follower/follower.go
+++ b/state/follower/follower.go
@@ -46,6 +46,12 @@
 	// maxRecoveryWait is the maximum time that a lost topic waits for another one to detect
 	// that the platform is back.
 	maxRecoveryWait = 2 * time.Second
+	// newEraDelay is the maximum delay before a topic is listed again after the store has
+	// returned from an older copy, which all daemons that watch detect at the same time.
+	newEraDelay = 100 * time.Millisecond
+	// peerAttempts is how often a daemon that doesn't watch asks its peers for a topic of a
+	// new era before it lists the topic itself. Peers answer a few requests at a time.
+	peerAttempts = 4
 	// watchCheckInterval is how often a daemon checks whether it has to watch.
 	watchCheckInterval = 200 * time.Millisecond
 )
@@ -54,7 +60,7 @@
 type TopicMsg struct {
 	Topic    banyanplank.Topic
 	Entries  []banyanplank.DiscoveryItem
-	Revision banyanplank.Version
+	Position banyanplank.Position
 	// IsFullList reports that Entries is the full list, not only the changed entries.
 	IsFullList bool
 	// Resumed reports that the preceding calls to the platform failed.
@@ -63,7 +69,7 @@
 	Relayed bool
 	// RequestedAt is when the call that returned the entries was made.
 	RequestedAt time.Time
-	// ConfirmedAt is a time up to which the platform has no changes beyond Revision. It is
+	// ConfirmedAt is a time up to which the platform has no changes beyond Position. It is
 	// zero if the reply may be stale.
 	ConfirmedAt time.Time
 }
@@ -76,8 +82,8 @@
 
 // Peers are the other daemons that follow the same topics.
 type Peers interface {
-	// FetchTopic returns all entries of a topic as known to a peer, and their revision.
-	FetchTopic(ctx context.Context, topic banyanplank.Topic) (entries []banyanplank.DiscoveryItem, revision banyanplank.Version, err error)
+	// FetchTopic returns all entries of a topic as known to a peer, and their position.
+	FetchTopic(ctx context.Context, topic banyanplank.Topic) (entries []banyanplank.DiscoveryItem, position banyanplank.Position, err error)
 }
 
 // WithPeers sets the peers to catch up from while the platform can't be reached or has
@@ -128,9 +134,9 @@
 	recovered chan struct{}
 }
 
-// hint is the highest revision of a topic that peers are known to have.
+// hint is the latest position of a topic that peers are known to have.
 type hint struct {
-	revision banyanplank.Version
+	position banyanplank.Position
 	updated  chan struct{}
 }
 
@@ -152,15 +158,15 @@
 	return f
 }
 
-// RecordHint reports that a peer knows a topic up to revision.
-func (f *Follower) RecordHint(topic banyanplank.Topic, revision banyanplank.Version) {
+// RecordHint reports that a peer knows a topic up to a position.
+func (f *Follower) RecordHint(topic banyanplank.Topic, position banyanplank.Position) {
 	h := f.hintOf(topic)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if revision <= h.revision {
+	if !h.position.IsBefore(position) {
 		return
 	}
-	h.revision = revision
+	h.position = position
 	select {
 	case h.updated <- struct{}{}:
 	default:
@@ -201,11 +207,11 @@
 	return f.hints[topic]
 }
 
-// hintedRevision returns the highest revision that peers are known to have.
-func (f *Follower) hintedRevision(h *hint) (revision banyanplank.Version) {
+// hintedPosition returns the latest position that peers are known to have.
+func (f *Follower) hintedPosition(h *hint) (position banyanplank.Position) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return h.revision
+	return h.position
 }
 
 // Poll fetches the changes of a topic at every interval, without watching it, until
--- a/state/follower/follower_test.go
+++ b/state/follower/follower_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
 
@@ -28,6 +28,7 @@
 	lag           banyanplank.Version
 	// oldest is the first revision after which history is kept.
 	oldest  banyanplank.Version
+	era     banyanplank.Era
 	updated chan struct{}
 }
 
@@ -84,33 +85,64 @@
 	return entries, d.revision, d.updated
 }
 
-func (d *fakeDiscovery) List(context.Context, banyanplank.Topic) (entries []banyanplank.DiscoveryItem, revision banyanplank.Version, err error) {
+func (d *fakeDiscovery) List(context.Context, banyanplank.Topic) (entries []banyanplank.DiscoveryItem, position banyanplank.Position, err error) {
 	if err := d.nextError(); err != nil {
-		return nil, 0, err
+		return nil, position, err
 	}
-	entries, revision, _ = d.changesSince(1)
-	return entries, revision, nil
+	entries, position.Revision, _ = d.changesSince(1)
+	position.Era = d.currentEra()
+	return entries, position, nil
 }
 
-func (d *fakeDiscovery) Changes(ctx context.Context, _ banyanplank.Topic, after banyanplank.Version, wait time.Duration) (entries []banyanplank.DiscoveryItem, revision banyanplank.Version, err error) {
+func (d *fakeDiscovery) Changes(ctx context.Context, _ banyanplank.Topic, after banyanplank.Position, wait time.Duration) (entries []banyanplank.DiscoveryItem, position banyanplank.Position, err error) {
 	if err := d.nextError(); err != nil {
-		return nil, 0, err
+		return nil, position, err
 	}
-	if d.isCompacted(after) {
-		return nil, 0, banyanplank.ErrCompacted
+	if d.currentEra() > after.Era {
+		return nil, position, errNewEra
 	}
-	entries, revision, changed := d.changesSince(after)
+	if d.isCompacted(after.Revision) {
+		return nil, position, banyanplank.ErrCompacted
+	}
+	entries, revision, changed := d.changesSince(after.Revision)
 	if len(entries) > 0 || wait == 0 {
-		return entries, revision, nil
+		return entries, banyanplank.Position{Era: after.Era, Revision: revision}, nil
 	}
 	select {
 	case <-changed:
 	case <-time.After(wait):
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, position, ctx.Err()
+	}
+	if d.currentEra() > after.Era {
+		return nil, position, errNewEra
+	}
+	entries, revision, _ = d.changesSince(after.Revision)
+	return entries, banyanplank.Position{Era: after.Era, Revision: revision}, nil
+}
+
+// errNewEra is the error of calls that continue at a position of an older era.
+var errNewEra = errors.Mark(banyanplank.ErrNewEra, banyanplank.ErrCompacted)
+
+// currentEra returns the era.
+func (d *fakeDiscovery) currentEra() (era banyanplank.Era) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.era
+}
+
+// returnOlder goes back to the state at a revision, in a new era.
+func (d *fakeDiscovery) returnOlder(revision banyanplank.Version) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for r := range d.changes {
+		if r > revision {
+			delete(d.changes, r)
+		}
 	}
-	entries, revision, _ = d.changesSince(after)
-	return entries, revision, nil
+	d.revision, d.era = revision, d.era+1
+	close(d.updated)
+	d.updated = make(chan struct{})
 }
 
 // isCompacted reports whether the history after a revision is gone.
@@ -121,26 +153,30 @@
 }
 
 // Peek returns a state that is behind by lag revisions.
-func (d *fakeDiscovery) Peek(_ context.Context, _ banyanplank.Topic, after banyanplank.Version) (entries []banyanplank.DiscoveryItem, revision banyanplank.Version, err error) {
+func (d *fakeDiscovery) Peek(_ context.Context, _ banyanplank.Topic, after banyanplank.Position) (entries []banyanplank.DiscoveryItem, position banyanplank.Position, err error) {
 	d.mutex.Lock()
 	d.peeks++
 	lag, unavailable := d.lag, d.isUnavailable
 	d.mutex.Unlock()
 	if unavailable {
-		return nil, 0, banyanplank.ErrUnavailable
+		return nil, position, banyanplank.ErrUnavailable
+	}
+	if d.currentEra() > after.Era {
+		return nil, position, errNewEra
 	}
-	if d.isCompacted(after) {
-		return nil, 0, banyanplank.ErrCompacted
+	if d.isCompacted(after.Revision) {
+		return nil, position, banyanplank.ErrCompacted
 	}
-	entries, revision, _ = d.changesSince(after)
+	position.Era = after.Era
+	entries, position.Revision, _ = d.changesSince(after.Revision)
 	if lag > 0 {
-		return nil, min(after, revision-lag), nil
+		return nil, banyanplank.Position{Era: after.Era, Revision: min(after.Revision, position.Revision-lag)}, nil
 	}
-	return entries, revision, nil
+	return entries, position, nil
 }
 
-func (d *fakeDiscovery) Register(context.Context, banyanplank.Member) (banyanplank.Version, error) {
-	return 0, nil
+func (d *fakeDiscovery) Register(context.Context, banyanplank.Member) (banyanplank.Position, error) {
+	return banyanplank.Position{}, nil
 }
 
 func (d *fakeDiscovery) Remove(context.Context, banyanplank.DaemonID) error { return nil }
@@ -258,11 +294,11 @@
 			discovery.addChange("x")
 			time.Sleep(time.Second)
 			is.Equal(messages.keys(), nil) // no hint yet
-			f.RecordHint(banyanplank.TopicBackends, 2)
+			f.RecordHint(banyanplank.TopicBackends, banyanplank.Position{Revision: 2})
 			time.Sleep(200 * time.Millisecond)
 			is.Equal(messages.keys(), []string{"x"})
 			is.Equal(discovery.counts(), []int{1, 1})
-			f.RecordHint(banyanplank.TopicBackends, 2) // already known
+			f.RecordHint(banyanplank.TopicBackends, banyanplank.Position{Revision: 2}) // already known
 			time.Sleep(time.Second)
 			is.Equal(discovery.counts(), []int{1, 1})
 			watches.Store(true)
@@ -300,7 +336,7 @@
 		runFollower(t, f, 3*time.Second, func() {
 			time.Sleep(time.Second)
 			discovery.addChange("x")
-			f.RecordHint(banyanplank.TopicBackends, 2)
+			f.RecordHint(banyanplank.TopicBackends, banyanplank.Position{Revision: 2})
 		})
 		is.Equal(messages.keys(), []string{"x"})
 		is.Equal(discovery.counts(), []int{2, 1})
@@ -310,8 +346,8 @@
 // fakePeers know a topic up to a revision.
 type fakePeers struct{ revision banyanplank.Version }
 
-func (p fakePeers) FetchTopic(context.Context, banyanplank.Topic) (entries []banyanplank.DiscoveryItem, revision banyanplank.Version, err error) {
-	return []banyanplank.DiscoveryItem{{Key: "told", Value: "told"}}, p.revision, nil
+func (p fakePeers) FetchTopic(context.Context, banyanplank.Topic) (entries []banyanplank.DiscoveryItem, position banyanplank.Position, err error) {
+	return []banyanplank.DiscoveryItem{{Key: "told", Value: "told"}}, banyanplank.Position{Revision: p.revision}, nil
 }
 
 // TestCatchesUpFromPeersWhileUnavailable checks that a daemon whose calls the platform
@@ -329,7 +365,7 @@
 			time.Sleep(time.Second)
 			discovery.addChange("x")
 			discovery.addChange("y")
-			f.RecordHint(banyanplank.TopicBackends, 3)
+			f.RecordHint(banyanplank.TopicBackends, banyanplank.Position{Revision: 3})
 			time.Sleep(time.Second)
 			is.Equal(messages.keys(), []string{"told"})
 			time.Sleep(14 * time.Second)
--- a/state/follower/outage_test.go
+++ b/state/follower/outage_test.go
@@ -38,10 +38,10 @@
 					discovery.mutex.Lock()
 					discovery.oldest = 3
 					discovery.mutex.Unlock()
-					f.RecordHint(banyanplank.TopicBackends, 3)
+					f.RecordHint(banyanplank.TopicBackends, banyanplank.Position{Revision: 3})
 					time.Sleep(time.Second)
 					discovery.addChange("z")
-					f.RecordHint(banyanplank.TopicBackends, 4)
+					f.RecordHint(banyanplank.TopicBackends, banyanplank.Position{Revision: 4})
 				})
 				is.Equal(messages.keys(), test.keys)
 				is.Equal(discovery.counts()[0], test.calls)
