Keep what is known against an older copy of the store

What callers would have seen: right after the store has returned from an older copy, and until operators and endpoints have written again, calls go to endpoints that have left or said that they leave, and to zones out of service; an endpoint that is newer than the copy loses its calls at once.

Cause: the list of the new era is the state of the copy, and replaced what the entry knew. For the configuration it was the other way round: versions alone decide, so an older one that operators go back to never came into force.

--- /dev/null
+++ b/coordination/surveyor/held.go
@@ -0,0 +1,164 @@
+package surveyor
+
+import (
+	"reflect"
+	"time"
+
+	"github.com/banyanplank/banyanplank"
+	"github.com/banyanplank/banyanplank/state/follower"
+)
+
+// How long an entry keeps what it knows against an older copy from which the store returned, while
+// operators and endpoints write again what they wrote since.
+const (
+	// tableHold is the time for the routing table in force. Without it, a client account whose
+	// key was taken away would be served again.
+	tableHold = 30 * time.Second
+	// zoneHold is the time for zones out of service.
+	zoneHold = tableHold
+	// departureMemory is how long endpoints are remembered that have left. A copy is some
+	// seconds old.
+	departureMemory = time.Minute
+	// departureHeartbeats is the number of heartbeats after which the store drops an endpoint
+	// that doesn't write.
+	departureHeartbeats = 3
+)
+
+// held is what an entry keeps against an older copy of the store.
+type held struct {
+	// table is the older routing table that the store has, or nil.
+	table *banyanplank.RoutingTable
+	// backends are endpoints that have left, and that the store lists again, with the time
+	// from which they count as alive after all.
+	backends map[banyanplank.BackendID]heldBackend
+	// zones are the zones out of service that the store doesn't list, with the time from which
+	// they count as back in service.
+	zones map[banyanplank.Zone]time.Time
+	// departures are the endpoints that have left of late.
+	departures map[banyanplank.BackendID]departure
+}
+
+// heldBackend is an endpoint that is listed, but has left before.
+type heldBackend struct {
+	backend  banyanplank.Backend
+	position banyanplank.Position
+	until    time.Time
+}
+
+// departure is the end of an incarnation of an endpoint.
+type departure struct{ born, at time.Time }
+
+// newHeld returns a held with nothing in it.
+func newHeld() (h held) {
+	return held{
+		backends:   make(map[banyanplank.BackendID]heldBackend),
+		zones:      make(map[banyanplank.Zone]time.Time),
+		departures: make(map[banyanplank.BackendID]departure),
+	}
+}
+
+// recordDeparture records that an endpoint has left.
+func (h *held) recordDeparture(now time.Time, backend banyanplank.Backend) {
+	h.departures[backend.ID] = departure{born: backend.Born, at: now}
+}
+
+// recordReturn records that the store has returned from an older copy. Endpoints that the copy
+// doesn't list have time to register again.
+func (m *Model) recordReturn(now time.Time, msg follower.TopicMsg, previous banyanplank.Position) {
+	source := "platform"
+	if msg.Relayed {
+		source = "peer"
+	}
+	m.logEvent(Note{Event: "store returned", Topic: msg.Topic, Position: msg.Position, Value: "was at " + previous.String() + ", known from " + source, Age: now.Sub(msg.RequestedAt)})
+	if msg.Topic == banyanplank.TopicBackends {
+		m.outage.grant(now)
+	}
+}
+
+// isHolding reports whether a topic was read in a new era of the store no longer than a time ago.
+func (m *Model) isHolding(now time.Time, topic banyanplank.Topic, hold time.Duration) bool {
+	returnedAt := m.topic(topic).returnedAt
+	return !returnedAt.IsZero() && now.Sub(returnedAt) < hold
+}
+
+// holdTable reports whether a routing table stays out of force, since it is not newer than the one
+// in force. After a return, an older one is kept in case that the store goes on having it, and one
+// of the same version replaces one that is gone.
+func (m *Model) holdTable(table *banyanplank.RoutingTable) (hold bool) {
+	if m.router == nil || table.Version > m.router.Table().Version {
+		return false
+	}
+	returned := !m.topic(banyanplank.TopicRouting).returnedAt.IsZero()
+	if table.Version == m.router.Table().Version {
+		m.held.table = nil
+		return !returned || reflect.DeepEqual(table, m.router.Table())
+	}
+	if returned {
+		m.held.table = table
+	}
+	return true
+}
+
+// holdBackend returns an endpoint as it counts, and whether to add it. In the list of a new era,
+// one that said that it leaves is leaving still, an earlier incarnation doesn't replace a later one,
+// and one that had left is added only if it writes again, or is listed for longer than an endpoint
+// that doesn't.
+func (m *Model) holdBackend(now time.Time, backend banyanplank.Backend, msg follower.TopicMsg) (current banyanplank.Backend, ok bool) {
+	delete(m.held.backends, backend.ID)
+	hold := departureHeartbeats*m.endpointHeartbeat + reregisterGrace
+	if !msg.IsFullList || !m.isHolding(now, msg.Topic, hold) {
+		return backend, true
+	}
+	if known := m.backends[backend.ID]; known != nil {
+		if backend.Born.Before(known.backend.Born) {
+			return backend, false
+		}
+		backend.Leaving = backend.Leaving || known.backend.Leaving && known.backend.Born.Equal(backend.Born)
+		return backend, true
+	}
+	left, ok := m.held.departures[backend.ID]
+	if !ok || !left.born.Equal(backend.Born) {
+		return backend, true
+	}
+	m.held.backends[backend.ID] = heldBackend{backend: backend, position: msg.Position, until: m.topic(msg.Topic).returnedAt.Add(hold)}
+	m.logEvent(Note{Event: "endpoint held", Topic: msg.Topic, Key: string(backend.ID), Position: msg.Position, Age: now.Sub(left.at)})
+	return backend, false
+}
+
+// holdZone reports whether a zone that is no longer listed stays out of service for now.
+func (m *Model) holdZone(now time.Time, zone banyanplank.Zone) (hold bool) {
+	if !m.isHolding(now, banyanplank.TopicZonesOut, zoneHold) {
+		return false
+	}
+	m.held.zones[zone] = m.topic(banyanplank.TopicZonesOut).returnedAt.Add(zoneHold)
+	return true
+}
+
+// yieldHeld applies what the store has still not changed when the time to keep the earlier state
+// has passed.
+func (m *Model) yieldHeld(now time.Time) (changed bool) {
+	routing := m.topic(banyanplank.TopicRouting)
+	if table := m.held.table; table != nil && !m.isHolding(now, banyanplank.TopicRouting, tableHold) {
+		m.setTable(table, Note{Event: "routing yielded", Topic: banyanplank.TopicRouting, Position: routing.position, Age: now.Sub(routing.returnedAt)})
+		changed = true
+	}
+	for id, h := range m.held.backends {
+		if !now.Before(h.until) {
+			delete(m.held.backends, id)
+			m.addBackend(h.backend, h.position)
+			changed = true
+		}
+	}
+	for zone, until := range m.held.zones {
+		if !now.Before(until) {
+			m.setZoneOut(now, follower.TopicMsg{Topic: banyanplank.TopicZonesOut, Position: m.topic(banyanplank.TopicZonesOut).position, RequestedAt: now}, zone, false)
+			changed = true
+		}
+	}
+	for id, left := range m.held.departures {
+		if now.Sub(left.at) >= departureMemory {
+			delete(m.held.departures, id)
+		}
+	}
+	return changed
+}
--- a/coordination/surveyor/outage.go
+++ b/coordination/surveyor/outage.go
@@ -47,5 +47,8 @@
 	o.reachedAt = at
 }
 
+// grant gives endpoints that are no longer listed time to return.
+func (o *outage) grant(now time.Time) { o.graceUntil = later(o.graceUntil, now.Add(reregisterGrace)) }
+
 // hasGrace reports whether an endpoint that is no longer listed may return.
 func (o *outage) hasGrace(now time.Time) bool { return now.Before(o.graceUntil) }
--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -111,14 +111,18 @@
 
 // Model is the state of an entry's control loop. Create it with [NewModel].
 type Model struct {
-	self      banyanplank.Member
-	router    *router.Router
-	backends  map[banyanplank.BackendID]*backendState
-	zonesOut  map[banyanplank.Zone]bool
-	members   map[banyanplank.DaemonID]*membership
-	topics    map[banyanplank.Topic]*topicState
-	draining  bool
-	outage    outage
+	self     banyanplank.Member
+	router   *router.Router
+	backends map[banyanplank.BackendID]*backendState
+	zonesOut map[banyanplank.Zone]bool
+	members  map[banyanplank.DaemonID]*membership
+	topics   map[banyanplank.Topic]*topicState
+	draining bool
+	outage   outage
+	held     held
+	// endpointHeartbeat is the time between two heartbeats of an endpoint.
+	endpointHeartbeat time.Duration
+
 	startedAt time.Time
 	// takeoverSince is the time since which this entry has to take over from entries of
 	// its zone that can't reach the platform; zero if it doesn't.
@@ -162,6 +166,9 @@
 	changedPosition banyanplank.Position
 	isListed        bool
 	isLost          bool
+	// returnedAt is when the topic was first read in a later era of the store than before, or
+	// zero.
+	returnedAt time.Time
 	// confirmedAt is when the platform last had no changes beyond position.
 	confirmedAt time.Time
 }
@@ -172,16 +179,19 @@
 // WithEndpointHeartbeat sets the time between two heartbeats of an endpoint. The platform drops
 // an endpoint after three without one. The default is [DefaultEndpointHeartbeat].
 func WithEndpointHeartbeat(interval time.Duration) Option {
-	return func(m *Model) { m.outage.minimum = lapseHeartbeats * interval }
+	return func(m *Model) { m.endpointHeartbeat, m.outage.minimum = interval, lapseHeartbeats*interval }
 }
 
 // NewModel returns a model of the entry self without any known state.
 func NewModel(self banyanplank.Member, options ...Option) *Model {
 	m := &Model{
+		endpointHeartbeat: DefaultEndpointHeartbeat,
+
 		outage:   outage{minimum: lapseHeartbeats * DefaultEndpointHeartbeat},
 		self:     self,
 		backends: make(map[banyanplank.BackendID]*backendState),
 		zonesOut: make(map[banyanplank.Zone]bool),
+		held:     newHeld(),
 		members:  make(map[banyanplank.DaemonID]*membership),
 		topics:   make(map[banyanplank.Topic]*topicState),
 	}
@@ -284,7 +294,8 @@
 	}
 	t.isListed = true
 	if returned {
-		m.logReturn(now, msg, t.position)
+		m.recordReturn(now, msg, t.position)
+		t.returnedAt = now
 	}
 	t.position = msg.Position
 	if t.isLost && !msg.Relayed {
@@ -311,36 +322,36 @@
 func (m *Model) applyRouting(now time.Time, msg follower.TopicMsg) {
 	for _, e := range msg.Entries {
 		table, ok := e.Value.(*banyanplank.RoutingTable)
-		if !ok || (m.router != nil && table.Version <= m.router.Table().Version) {
+		if !ok || m.holdTable(table) {
 			continue
 		}
-		m.router = router.New(table)
-		m.logEvent(Note{
+		m.setTable(table, Note{
 			Event: "routing in force", Topic: msg.Topic, Key: e.Key, Position: msg.Position, Age: now.Sub(msg.RequestedAt),
-			Confirmed: m.topic(msg.Topic).unconfirmedFor(now), Value: formatTable(table),
+			Confirmed: m.topic(msg.Topic).unconfirmedFor(now),
 		})
 	}
 }
 
-// logReturn logs that the store has returned from an older copy.
-func (m *Model) logReturn(now time.Time, msg follower.TopicMsg, previous banyanplank.Position) {
-	source := "platform"
-	if msg.Relayed {
-		source = "peer"
-	}
-	m.logEvent(Note{Event: "store returned", Topic: msg.Topic, Position: msg.Position, Value: "was at " + previous.String() + ", known from " + source, Age: now.Sub(msg.RequestedAt)})
+// setTable puts a routing table in force.
+func (m *Model) setTable(table *banyanplank.RoutingTable, note Note) {
+	m.router, m.held.table = router.New(table), nil
+	note.Value = formatTable(table)
+	m.logEvent(note)
 }
 
-// expire removes endpoints whose grace has ended, marks entries without recent
+// expire removes endpoints whose grace has ended, yields to what the store still has after its
+// return from an older copy, marks entries without recent
 // heartbeats as silent, and maintains the list of members.
 func (m *Model) expire(now time.Time) (changed bool) {
 	for id, b := range m.backends {
 		if !b.missingSince.IsZero() && !m.outage.hasGrace(now) {
 			delete(m.backends, id)
 			changed = true
+			m.held.recordDeparture(now, b.backend)
 			m.logEvent(Note{Event: "endpoint gone", Topic: banyanplank.TopicBackends, Key: string(id), Age: now.Sub(b.missingSince)})
 		}
 	}
+	changed = m.yieldHeld(now) || changed
 	for id, s := range m.members {
 		if s.isAlive && now.Sub(s.heardAt) > m.maxHeartbeatAge(s) {
 			s.isAlive = false
--- a/coordination/surveyor/topics.go
+++ b/coordination/surveyor/topics.go
@@ -21,7 +21,9 @@
 			continue
 		}
 		present[id] = true
-		m.addBackend(backend, msg.Position)
+		if backend, ok = m.holdBackend(now, backend, msg); ok {
+			m.addBackend(backend, msg.Position)
+		}
 	}
 	if !msg.IsFullList {
 		return
@@ -62,6 +64,7 @@
 
 // removeBackend removes an endpoint, or marks it as missing if it has a grace period.
 func (m *Model) removeBackend(now time.Time, id banyanplank.BackendID, position banyanplank.Position) {
+	delete(m.held.backends, id)
 	b := m.backends[id]
 	if b == nil {
 		return
@@ -74,6 +77,7 @@
 		return
 	}
 	delete(m.backends, id)
+	m.held.recordDeparture(now, b.backend)
 	m.logEvent(Note{Event: "endpoint gone", Topic: banyanplank.TopicBackends, Key: string(id), Position: position})
 }
 
@@ -89,7 +93,7 @@
 		return
 	}
 	for zone := range m.zonesOut {
-		if !present[zone] {
+		if !present[zone] && !m.holdZone(now, zone) {
 			m.setZoneOut(now, msg, zone, false)
 		}
 	}
@@ -97,6 +101,7 @@
 
 // setZoneOut sets whether a zone is out of service.
 func (m *Model) setZoneOut(now time.Time, msg follower.TopicMsg, zone banyanplank.Zone, out bool) {
+	delete(m.held.zones, zone)
 	if m.zonesOut[zone] == out {
 		return
 	}
