Serve no empty list of entries to peers

What operators would have seen: entries that register again, and stale entries that nobody removes from the platform's list, after the store has returned from an older copy or compacted its history.

Cause: an entry that doesn't watch asks its peers for a topic then, also for the list of entries, which the relay doesn't serve: it sent a position without entries, and the empty list replaced what the entry knew.

Change: the relay has no such topic, and the entry lists it from the store.

TestRelayServesNoListOfEntries failed before.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -120,6 +120,9 @@
 			for zone := range snapshot.ZonesOut {
 				state.Out = append(state.Out, zone)
 			}
+		default:
+			w.WriteHeader(http.StatusNotFound)
+			return
 		}
 		// An error means that the peer has closed the connection.
 		_ = json.NewEncoder(w).Encode(&state)
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -64,3 +64,20 @@
 	_, _, err := asking.FetchTopic(t.Context(), banyanplank.TopicRouting)
 	is.True(err != nil)
 }
+
+// TestRelayServesNoListOfEntries guards against an entry that takes the topics that its peers don't
+// serve for empty ones. It would register again, and forget which entries the platform lists.
+func TestRelayServesNoListOfEntries(t *testing.T) {
+	is := is.New(t)
+	snapshot := &surveyor.Snapshot{
+		Router:    router.New(&banyanplank.RoutingTable{Version: 1}),
+		Positions: map[banyanplank.Topic]banyanplank.Position{banyanplank.TopicMembers: {Era: 2, Revision: 9}},
+	}
+	server := httptest.NewServer(newRelay(func() *surveyor.Snapshot { return snapshot }).handler())
+	defer server.Close()
+	asking := newRelay(nil)
+	asking.recordPositions(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), snapshot.Positions)
+	entries, _, err := asking.FetchTopic(t.Context(), banyanplank.TopicMembers)
+	is.True(err != nil)
+	is.Equal(len(entries), 0)
+}
