Have the store return from an older copy in the soak

Now it draws such returns beside the other faults, and alone before the phase without faults, each from a random source of its own, so that older seeds draw the same other faults.

The check that configurations don't go back allows a 404 only by a process that started since the last call served by the route, before the store had the newest configuration again, and for 5 s from then: the process can't know what the store has lost.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -152,7 +152,7 @@
 	ordered := slices.Clone(records)
 	slices.SortFunc(ordered, func(a, b *record) int { return a.begin.Compare(b.begin) })
 	type entryPath struct{ entry, path string }
-	inForceSince := make(map[entryPath]time.Time)
+	inForceSince, lastServed := make(map[entryPath]time.Time), make(map[entryPath]time.Time)
 	for _, r := range ordered {
 		accepted, found := h.acceptedAt[r.Path]
 		// An entry that knows no routes yet responds with 503 too.
@@ -166,7 +166,8 @@
 			if inForceSince[key].IsZero() {
 				inForceSince[key] = r.end
 			}
-		case !inForceSince[key].IsZero() && r.begin.After(inForceSince[key]):
+			lastServed[key] = r.begin
+		case !inForceSince[key].IsZero() && r.begin.After(inForceSince[key]) && !h.couldHaveLost(r, lastServed[key]):
 			p.addViolation("%s: %s returned 404 for %s after the route was in force", r.Attempt, r.entry, r.Path)
 		case r.begin.After(accepted.Add(propagationLimit)) && h.isFaultFree(r.begin, settleTime):
 			p.addViolation("%s: %s returned 404 for %s, %s after the store accepted it", r.Attempt, r.entry, r.Path, r.begin.Sub(accepted))
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -26,6 +26,8 @@
 	maxFaults = 12
 	// drainTime is how long a server keeps running after it has announced that it leaves.
 	drainTime = 4 * time.Second
+	// zoneReturn is when operators take zones back, from the start of the phase without faults.
+	zoneReturn = 10 * time.Second
 )
 
 // Fault is a fault that is injected in a run, or an operation of the operators.
@@ -50,7 +52,8 @@
 		faults = append(faults, f)
 	}
 	faults = append(faults, h.drawExtraFaults()...)
-	return append(faults, h.drawMalformedFaults()...)
+	faults = append(faults, h.drawMalformedFaults()...)
+	return append(faults, h.drawReturns()...)
 }
 
 // drawExtraFaults draws faults of the kinds that were added later. It uses a random source
@@ -269,11 +272,11 @@
 				h.addError(e.start())
 			})
 		}},
-		{Kind: "zone out of service", Target: zone, At: 3 * time.Second, Until: 10 * time.Second, inject: func(done <-chan struct{}) {
-			mimic.EvacuateZone(h.store, zone)
-			h.addExclusion(exclusion{zone: zone, from: time.Now().Add(propagationLimit), until: h.phaseTime(10 * time.Second)})
+		{Kind: "zone out of service", Target: zone, At: 3 * time.Second, Until: zoneReturn, inject: func(done <-chan struct{}) {
+			h.evacuateZone(zone)
+			h.addExclusion(exclusion{zone: zone, from: time.Now().Add(propagationLimit), until: h.phaseTime(zoneReturn)})
 			<-done
-			mimic.RestoreZone(h.store, zone)
+			h.restoreZone(zone)
 		}},
 		{Kind: "server leaves", Target: h.slots[index].displayName(index), At: 3 * time.Second, Until: 3*time.Second + drainTime, inject: func(done <-chan struct{}) {
 			s := h.slots[index]
--- a/soak/process.go
+++ b/soak/process.go
@@ -49,6 +49,8 @@
 	// counts the processes that exited without either.
 	stopRequested   bool
 	unexpectedExits int
+	// starts lists when processes were started.
+	starts []time.Time
 	// peakMemory is the highest resident memory sampled, in bytes.
 	peakMemory int64
 	// faultMutex is held by the fault or operation that controls the process.
@@ -106,6 +108,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.cmd, e.exited, e.stopRequested = cmd, make(chan struct{}), false
+	e.starts = append(e.starts, time.Now())
 	exited := e.exited
 	e.group.Go(func() {
 		defer close(exited)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -90,8 +90,12 @@
 	extraRandom *rand.Rand
 	// malformedRandom draws malformed responses.
 	malformedRandom *rand.Rand
-	entries         []*entry
-	slots           []*serverSlot
+	// returnRandom draws returns of the store beside other faults, and loneRandom those in
+	// calm.
+	returnRandom *rand.Rand
+	loneRandom   *rand.Rand
+	entries      []*entry
+	slots        []*serverSlot
 	// faults, phaseStart and faultFreePhases are used only by the goroutine that runs the
 	// faults.
 	faults          []*Fault
@@ -100,9 +104,14 @@
 	// recoveries lists how long after the faults of each round the last unserved call began.
 	recoveries []time.Duration
 
-	mutex        sync.Mutex
-	version      int
-	acceptedAt   map[string]time.Time
+	mutex   sync.Mutex
+	version int
+	// config is the newest configuration, and zonesOut holds the zones out of service.
+	config     mimic.Config
+	zonesOut   map[string]bool
+	acceptedAt map[string]time.Time
+	// lossSpans lists when the store lacked what operators had written.
+	lossSpans    []span
 	exclusions   []exclusion
 	faultSpans   []span
 	plannedStops map[*entry][]span
@@ -123,7 +132,7 @@
 	h := &harness{
 		options:   options{seed: 1, entries: defaultEntries, callers: defaultCallers, rounds: defaultRounds},
 		startTime: time.Now(), store: mimic.NewStore(), runLog: &mimic.RunLog{},
-		acceptedAt: make(map[string]time.Time), plannedStops: make(map[*entry][]span),
+		zonesOut: make(map[string]bool), acceptedAt: make(map[string]time.Time), plannedStops: make(map[*entry][]span),
 		entryFaultSpans: make(map[netip.AddrPort][]span), linkFaultSpans: make(map[int][]span),
 		crashAttempts: make(map[string]netip.AddrPort),
 	}
@@ -132,6 +141,8 @@
 	}
 	h.extraRandom = rand.New(rand.NewPCG(h.seed, 1))
 	h.malformedRandom = rand.New(rand.NewPCG(h.seed, 2))
+	h.returnRandom = rand.New(rand.NewPCG(h.seed, 3))
+	h.loneRandom = rand.New(rand.NewPCG(h.seed, 4))
 	if h.dir == "" {
 		if h.dir, err = os.MkdirTemp("", "soak"); err != nil {
 			return nil, err
@@ -226,8 +237,10 @@
 	if banyanplank.Sleep(ctx, warmupTime) == nil {
 		for range h.rounds {
 			h.runFaults(ctx, h.drawFaults(random))
+			lone, undo := h.drawLoneReturn()
+			h.runFaults(ctx, lone)
 			begin := time.Now()
-			h.runFaults(ctx, append(h.drawOperations(random), &Fault{Kind: "calm", At: faultFreeTime, Harmless: true, inject: func(<-chan struct{}) {}}))
+			h.runFaults(ctx, append(append(h.drawOperations(random), undo...), &Fault{Kind: "calm", At: faultFreeTime, Harmless: true, inject: func(<-chan struct{}) {}}))
 			h.faultFreePhases = append(h.faultFreePhases, span{begin, time.Now()})
 		}
 	}
@@ -260,7 +273,8 @@
 		h.exclusions = append(h.exclusions, exclusion{account: h.versionAccount(h.version - 1), from: time.Now().Add(propagationLimit)})
 	}
 	keys := map[string][]string{permanentAccount: {permanentKey}, h.versionAccount(h.version): {h.versionAccount(h.version)}}
-	mimic.Config{Version: h.version, Keys: keys}.Put(h.store)
+	h.config = mimic.Config{Version: h.version, Keys: keys}
+	h.config.Put(h.store)
 	h.acceptedAt[fmt.Sprintf("v%d", h.version)] = time.Now()
 }
 
