End backoffs when a peer reports a new era of the store

Cause: an entry that doesn't watch, and whose call failed while the store was away (its poll each 10 s, or for want of confirmations), slept for up to 2 s, and topics that wait for another one's recovery too. No hint woke them.

Change: a hint of a later era than those known when the wait began ends it. Other hints don't, so that an entry which the store rejects calls it no more often than before.

--- a/state/follower/cursor.go
+++ b/state/follower/cursor.go
@@ -211,15 +211,15 @@
 	}
 	c.isLost = true
 	c.catchUpIfBehind(ctx)
+	hinted := c.hintedPosition(c.hint)
 	maxBackoff := c.maxBackoff
 	if c.isListed && !c.isWatcher() {
 		maxBackoff = idleMaxBackoff
 	} else if recovered := c.markLost(c); recovered != nil {
-		c.awaitRecovery(ctx, recovered)
+		c.awaitNewEra(ctx, recovered, hinted, maxRecoveryWait/2+rand.N(maxRecoveryWait/2))
 		return
 	}
-	// The loop in run checks ctx.
-	_ = banyanplank.Sleep(ctx, maxBackoff/2+rand.N(maxBackoff/2))
+	c.awaitNewEra(ctx, nil, hinted, maxBackoff/2+rand.N(maxBackoff/2))
 }
 
 // markLost records that a topic is lost. It returns nil if c is the topic that probes
@@ -246,15 +246,21 @@
 	}
 }
 
-// awaitRecovery waits until another topic reaches the platform, but no longer than
-// [maxRecoveryWait].
-func (c *cursor) awaitRecovery(ctx context.Context, recovered <-chan struct{}) {
-	timer := time.NewTimer(maxRecoveryWait/2 + rand.N(maxRecoveryWait/2))
+// awaitNewEra waits until another topic reaches the platform, or a peer reports a later era of the
+// store than that of hinted, but no longer than limit. The caller checks ctx.
+func (c *cursor) awaitNewEra(ctx context.Context, recovered <-chan struct{}, hinted banyanplank.Position, limit time.Duration) {
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-recovered:
-	case <-timer.C:
+	for c.hintedPosition(c.hint).Era <= hinted.Era {
+		select {
+		case <-ctx.Done():
+			return
+		case <-recovered:
+			return
+		case <-timer.C:
+			return
+		case <-c.hint.updated:
+		}
 	}
 }
 
