Pass on to peers what is held against an older copy

Cause: what an entry that watches holds against the copy came into force at itself only. Its position doesn't change then, so the entries that took the topic from it never learned of that: a zone stayed out of service for good at those, an older configuration that the store went on having came into force on some entries and not on others, and an endpoint that was listed again was lost to most.

Change: the relay names what is held apart from what is in force, and each entry holds and yields by itself. One that takes its first list from a peer holds it, too.

--- a/coordination/surveyor/held.go
+++ b/coordination/surveyor/held.go
@@ -38,6 +38,28 @@
 	departures map[banyanplank.BackendID]departure
 }
 
+// Held is what an entry holds back against an older copy of the store.
+type Held struct {
+	// Table is an older routing table that the store has, or nil.
+	Table *banyanplank.RoutingTable
+	// Backends are endpoints that have left, and that the store lists.
+	Backends []banyanplank.Backend
+	// ZonesOut are zones out of service that the store doesn't list.
+	ZonesOut map[banyanplank.Zone]bool
+}
+
+// export returns what is held.
+func (h *held) export() (exported Held) {
+	exported = Held{Table: h.table, ZonesOut: make(map[banyanplank.Zone]bool, len(h.zones))}
+	for _, b := range h.backends {
+		exported.Backends = append(exported.Backends, b.backend)
+	}
+	for zone := range h.zones {
+		exported.ZonesOut[zone] = true
+	}
+	return exported
+}
+
 // heldBackend is an endpoint that is listed, but has left before.
 type heldBackend struct {
 	backend  banyanplank.Backend
@@ -101,23 +123,28 @@
 
 // holdBackend returns an endpoint as it counts, and whether to add it. In the list of a new era,
 // one that said that it leaves is leaving still, an earlier incarnation doesn't replace a later one,
-// and one that had left is added only if it writes again, or is listed for longer than an endpoint
-// that doesn't.
-func (m *Model) holdBackend(now time.Time, backend banyanplank.Backend, msg follower.TopicMsg) (current banyanplank.Backend, ok bool) {
+// and one that had left, or that a peer holds, is added only if it writes again, or is listed for
+// longer than an endpoint that doesn't.
+func (m *Model) holdBackend(now time.Time, backend banyanplank.Backend, isHeld bool, msg follower.TopicMsg) (current banyanplank.Backend, ok bool) {
 	delete(m.held.backends, backend.ID)
 	hold := departureHeartbeats*m.endpointHeartbeat + reregisterGrace
 	if !msg.IsFullList || !m.isHolding(now, msg.Topic, hold) {
 		return backend, true
 	}
-	if known := m.backends[backend.ID]; known != nil {
-		if backend.Born.Before(known.backend.Born) {
-			return backend, false
-		}
+	known := m.backends[backend.ID]
+	switch {
+	case known != nil && backend.Born.Before(known.backend.Born):
+		return backend, false
+	case known != nil && isHeld && backend.Born.Equal(known.backend.Born):
+		// The peer knows that it has left.
+		delete(m.backends, backend.ID)
+		m.held.recordDeparture(now, known.backend)
+	case known != nil:
 		backend.Leaving = backend.Leaving || known.backend.Leaving && known.backend.Born.Equal(backend.Born)
 		return backend, true
 	}
 	left, ok := m.held.departures[backend.ID]
-	if !ok || !left.born.Equal(backend.Born) {
+	if !isHeld && (!ok || !left.born.Equal(backend.Born)) {
 		return backend, true
 	}
 	m.held.backends[backend.ID] = heldBackend{backend: backend, position: msg.Position, until: m.topic(msg.Topic).returnedAt.Add(hold)}
--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -80,6 +80,8 @@
 	// time to return.
 	Missing  map[banyanplank.BackendID]bool
 	ZonesOut map[banyanplank.Zone]bool
+	// Held is what differs in the store, and comes into force unless it is written again.
+	Held Held
 	// Entries are the live entries that accept new callers, including this one
 	// unless it drains. Peers are all entries that heartbeats are sent to.
 	Entries []banyanplank.Member
@@ -295,6 +297,8 @@
 	t.isListed = true
 	if returned {
 		m.recordReturn(now, msg, t.position)
+	}
+	if returned || first && slices.ContainsFunc(msg.Entries, func(e banyanplank.DiscoveryItem) bool { return e.IsHeld }) {
 		t.returnedAt = now
 	}
 	t.position = msg.Position
@@ -381,6 +385,7 @@
 		s.DiscoveryLost = s.DiscoveryLost || t.isLost
 	}
 	s.Backends = m.currentBackends()
+	s.Held = m.held.export()
 	s.Missing = make(map[banyanplank.BackendID]bool)
 	for id, b := range m.backends {
 		if !b.missingSince.IsZero() {
--- a/coordination/surveyor/topics.go
+++ b/coordination/surveyor/topics.go
@@ -21,7 +21,7 @@
 			continue
 		}
 		present[id] = true
-		if backend, ok = m.holdBackend(now, backend, msg); ok {
+		if backend, ok = m.holdBackend(now, backend, e.IsHeld, msg); ok {
 			m.addBackend(backend, msg.Position)
 		}
 	}
@@ -86,7 +86,7 @@
 	present := make(map[banyanplank.Zone]bool)
 	for _, e := range msg.Entries {
 		zone := banyanplank.Zone(e.Key)
-		present[zone] = e.Value != nil
+		present[zone] = e.Value != nil && !e.IsHeld
 		m.setZoneOut(now, msg, zone, e.Value != nil)
 	}
 	if !msg.IsFullList {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -36,6 +36,11 @@
 	Table    *banyanplank.RoutingTable `json:"table,omitempty"`
 	Backends []banyanplank.Backend     `json:"backends,omitempty"`
 	Out      []banyanplank.Zone        `json:"out,omitempty"`
+	// What this entry holds back against an older copy of the store. The receiver holds it as
+	// well: when this entry yields to the store, its position stays.
+	HeldTable    *banyanplank.RoutingTable `json:"heldtable,omitempty"`
+	HeldBackends []banyanplank.Backend     `json:"heldbackends,omitempty"`
+	HeldOut      []banyanplank.Zone        `json:"heldout,omitempty"`
 }
 
 // entries returns the state as entries of the topic.
@@ -45,14 +50,23 @@
 		if s.Table != nil {
 			entries = append(entries, banyanplank.DiscoveryItem{Key: "peer", Value: s.Table})
 		}
+		if s.HeldTable != nil {
+			entries = append(entries, banyanplank.DiscoveryItem{Key: "peer", Value: s.HeldTable, IsHeld: true})
+		}
 	case banyanplank.TopicBackends:
 		for _, b := range s.Backends {
 			entries = append(entries, banyanplank.DiscoveryItem{Key: string(b.ID), Value: b})
 		}
+		for _, b := range s.HeldBackends {
+			entries = append(entries, banyanplank.DiscoveryItem{Key: string(b.ID), Value: b, IsHeld: true})
+		}
 	case banyanplank.TopicZonesOut:
 		for _, zone := range s.Out {
 			entries = append(entries, banyanplank.DiscoveryItem{Key: string(zone), Value: zone})
 		}
+		for _, zone := range s.HeldOut {
+			entries = append(entries, banyanplank.DiscoveryItem{Key: string(zone), Value: zone, IsHeld: true})
+		}
 	}
 	return entries
 }
@@ -107,7 +121,7 @@
 		state := topicState{Position: position}
 		switch topic {
 		case banyanplank.TopicRouting:
-			state.Table = snapshot.Router.Table()
+			state.Table, state.HeldTable = snapshot.Router.Table(), snapshot.Held.Table
 		case banyanplank.TopicBackends:
 			// A peer that got a missing endpoint would not learn that it has left: that
 			// change is not later than the position.
@@ -116,9 +130,14 @@
 					state.Backends = append(state.Backends, b)
 				}
 			}
+			state.HeldBackends = snapshot.Held.Backends
 		case banyanplank.TopicZonesOut:
 			for zone := range snapshot.ZonesOut {
-				state.Out = append(state.Out, zone)
+				if snapshot.Held.ZonesOut[zone] {
+					state.HeldOut = append(state.HeldOut, zone)
+				} else {
+					state.Out = append(state.Out, zone)
+				}
 			}
 		default:
 			w.WriteHeader(http.StatusNotFound)
--- a/route.go
+++ b/route.go
@@ -218,4 +218,8 @@
 type DiscoveryItem struct {
 	Key   string
 	Value any
+	// IsHeld is set if the entry comes from a peer that holds it back for now: an older copy of
+	// the store has it, but that peer knows a later state. A zone that the store doesn't list
+	// has a Value.
+	IsHeld bool
 }
