Return the era with objects and their writes

An object names the era of the response it came in, also where it is missing, and a write returns a position. The in-memory store of the tests can return from a copy (Platform.Return). No decision changes yet.

Tests of platform, standin/platform, transport/storer and the packages that use ObjectStore pass.

--- a/coordination/claimer/claimer.go
+++ b/coordination/claimer/claimer.go
@@ -155,8 +155,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	reply.version, reply.err = c.store.Put(ctx, name, value, cmd.expect)
-	return reply
+	position, err := c.store.Put(ctx, name, value, cmd.expect)
+	return putMsg{version: position.Revision, err: err}
 }
 
 // get reads the named object for a getCmd.
--- a/coordination/claimer/claimer_test.go
+++ b/coordination/claimer/claimer_test.go
@@ -56,7 +56,7 @@
 	return object, nil
 }
 
-func (s *memoryStore) Put(_ context.Context, name string, value []byte, expect banyanplank.Version) (version banyanplank.Version, err error) {
+func (s *memoryStore) Put(_ context.Context, name string, value []byte, expect banyanplank.Version) (position banyanplank.Position, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -64,18 +64,18 @@
 	f := s.nextFault(true)
 	switch {
 	case f == faultUnavailable:
-		return 0, banyanplank.ErrUnavailable
+		return position, banyanplank.ErrUnavailable
 	case f == faultLostRequest:
-		return 0, banyanplank.ErrUncertain
+		return position, banyanplank.ErrUncertain
 	case s.objects[name].Version != expect:
-		return 0, banyanplank.ErrConflict
+		return position, banyanplank.ErrConflict
 	}
 	s.version++
 	s.objects[name] = banyanplank.Object{Name: name, Version: s.version, Value: value}
 	if f == faultLostReply {
-		return 0, banyanplank.ErrUncertain
+		return position, banyanplank.ErrUncertain
 	}
-	return s.version, nil
+	return banyanplank.Position{Revision: s.version}, nil
 }
 
 func (s *memoryStore) Delete(_ context.Context, name string, expect banyanplank.Version) (err error) {
--- a/coordination/flusher/flusher.go
+++ b/coordination/flusher/flusher.go
@@ -170,10 +170,11 @@
 	if err != nil {
 		return err
 	}
-	f.version, err = f.store.Put(ctx, f.name(), value, version)
+	position, err := f.store.Put(ctx, f.name(), value, version)
 	if err != nil {
 		return err
 	}
+	f.version = position.Revision
 	f.tally.Restore(now, earlier)
 	return nil
 }
@@ -218,26 +219,26 @@
 	if err != nil {
 		return err
 	}
-	version, err := f.store.Put(ctx, f.name(), value, f.version)
+	position, err := f.store.Put(ctx, f.name(), value, f.version)
 	if errors.Is(err, banyanplank.ErrConflict) {
-		version, err = f.overwrite(ctx, value, tally.Incarnation)
+		position, err = f.overwrite(ctx, value, tally.Incarnation)
 	}
 	if err != nil {
 		return err
 	}
-	f.version = version
+	f.version = position.Revision
 	return nil
 }
 
 // overwrite replaces the object if this incarnation or an earlier one wrote it.
 // Otherwise the error is [ErrSuperseded].
-func (f *Flusher) overwrite(ctx context.Context, value []byte, incarnation banyanplank.Incarnation) (version banyanplank.Version, err error) {
+func (f *Flusher) overwrite(ctx context.Context, value []byte, incarnation banyanplank.Incarnation) (position banyanplank.Position, err error) {
 	stored, version, err := f.readStored(ctx)
 	if err != nil {
-		return 0, err
+		return position, err
 	}
 	if stored.Incarnation > incarnation {
-		return 0, ErrSuperseded
+		return position, ErrSuperseded
 	}
 	return f.store.Put(ctx, f.name(), value, version)
 }
--- a/coordination/forwarder/cluster_test.go
+++ b/coordination/forwarder/cluster_test.go
@@ -256,25 +256,25 @@
 	return s.ObjectStore.Get(ctx, name)
 }
 
-func (s faultyStore) Put(ctx context.Context, name string, value []byte, expect banyanplank.Version) (version banyanplank.Version, err error) {
+func (s faultyStore) Put(ctx context.Context, name string, value []byte, expect banyanplank.Version) (position banyanplank.Position, err error) {
 	switch s.cluster.nextFault(messagePut) {
 	case faultLoss:
-		return 0, banyanplank.ErrUncertain
+		return position, banyanplank.ErrUncertain
 	case faultRefuse:
-		return 0, banyanplank.ErrUnavailable
+		return position, banyanplank.ErrUnavailable
 	case faultCrash, faultReorder:
 		_, _ = s.ObjectStore.Put(ctx, name, value, expect)
-		return 0, banyanplank.ErrUncertain
+		return position, banyanplank.ErrUncertain
 	case faultLongDelay, faultDelay:
 		s.cluster.background.Go(func() {
 			time.Sleep(time.Minute)
 			_, _ = s.ObjectStore.Put(context.Background(), name, value, expect)
 		})
-		return 0, banyanplank.ErrUncertain
+		return position, banyanplank.ErrUncertain
 	case faultPause:
-		version, err = s.ObjectStore.Put(ctx, name, value, expect)
+		position, err = s.ObjectStore.Put(ctx, name, value, expect)
 		time.Sleep(pauseTime)
-		return version, err
+		return position, err
 	default:
 		return s.ObjectStore.Put(ctx, name, value, expect)
 	}
--- a/coordination/leaser/leaser.go
+++ b/coordination/leaser/leaser.go
@@ -107,8 +107,8 @@
 		return ReadResultMsg{Object: object, Err: err}
 	case WriteCmd:
 		frozen, sentAt := e.frozen(), time.Now()
-		version, err := e.store.Put(ctx, e.name, c.Value, c.Expect)
-		return WriteResultMsg{Command: c, Sent: sentAt, Frozen: frozen, Version: version, Err: err}
+		position, err := e.store.Put(ctx, e.name, c.Value, c.Expect)
+		return WriteResultMsg{Command: c, Sent: sentAt, Frozen: frozen, Version: position.Revision, Err: err}
 	default:
 		return nil
 	}
--- a/coordination/switcher/record_store.go
+++ b/coordination/switcher/record_store.go
@@ -120,12 +120,12 @@
 	if err != nil {
 		return RecordMsg{Err: err}
 	}
-	version, err := s.store.Put(ctx, recordPrefix+string(s.group), value, command.Expect)
+	position, err := s.store.Put(ctx, recordPrefix+string(s.group), value, command.Expect)
 	if err != nil {
 		return RecordMsg{Err: err}
 	}
 	s.deleteUnreferencedMaps(ctx, command.Record)
-	return RecordMsg{Record: command.Record, Version: version}
+	return RecordMsg{Record: command.Record, Version: position.Revision}
 }
 
 // writeMap stores a map unless it is stored already. An existing object of the
@@ -143,7 +143,7 @@
 	if err != nil {
 		return err
 	}
-	version, err := s.store.Put(ctx, s.mapName(m.ID), value, 0)
+	position, err := s.store.Put(ctx, s.mapName(m.ID), value, 0)
 	switch {
 	case errors.Is(err, banyanplank.ErrConflict):
 		_, err = s.readMap(ctx, m.ID)
@@ -151,7 +151,7 @@
 	case err != nil:
 		return errors.Wrapf(banyanplank.ErrUnavailable, "write map %d: %v", m.ID, err)
 	}
-	s.rememberMap(m, version)
+	s.rememberMap(m, position.Revision)
 	return nil
 }
 
--- a/coordination/usagereporter/reporter.go
+++ b/coordination/usagereporter/reporter.go
@@ -438,7 +438,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	name := ObjectPrefix + strconv.FormatInt(p.window, 10)
-	version, err := r.store.Put(ctx, name, p.encoded, 0)
+	position, err := r.store.Put(ctx, name, p.encoded, 0)
 	if errors.Is(err, banyanplank.ErrConflict) {
 		return r.adopt(ctx, p, name)
 	}
@@ -447,7 +447,7 @@
 		p.err = err
 		return false
 	}
-	r.recordStored(p.window, version)
+	r.recordStored(p.window, position.Revision)
 	p.body = p.encoded
 	return true
 }
--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -74,12 +74,12 @@
 		writeBodyError(w, err)
 		return
 	}
-	version, err := p.Put(r.Context(), objectName(params), value, expect)
+	position, err := p.Put(r.Context(), objectName(params), value, expect)
 	if err != nil {
 		writeError(w, err)
 		return
 	}
-	w.Header().Set("ETag", storer.ETag(version))
+	w.Header().Set("ETag", storer.ETag(position.Revision))
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -51,6 +51,11 @@
 	return func(p *Platform) { p.bearerKey = key }
 }
 
+// WithEra sets the era of the store. The default is zero, as of a store that names none.
+func WithEra(era banyanplank.Era) Option {
+	return func(p *Platform) { p.shared.setEra(era) }
+}
+
 // New returns an empty platform without faults.
 func New(options ...Option) *Platform {
 	p := &Platform{shared: newSharedState(), watchTimeout: defaultWatchTimeout}
@@ -79,7 +84,7 @@
 		return banyanplank.Object{}, err
 	}
 	if !ok {
-		return banyanplank.Object{}, banyanplank.ErrNotFound
+		return object, banyanplank.ErrNotFound
 	}
 	return object, nil
 }
@@ -96,43 +101,43 @@
 
 // Put implements [banyanplank.ObjectStore]. If ctx ends while the request is
 // delayed, the write still takes effect after the delay.
-func (p *Platform) Put(ctx context.Context, name string, value []byte, expect banyanplank.Version) (version banyanplank.Version, err error) {
+func (p *Platform) Put(ctx context.Context, name string, value []byte, expect banyanplank.Version) (position banyanplank.Position, err error) {
 	if len(value) > banyanplank.MaxValueBytes {
-		return 0, errors.Wrapf(banyanplank.ErrTooLarge, "%d bytes", len(value))
+		return position, errors.Wrapf(banyanplank.ErrTooLarge, "%d bytes", len(value))
 	}
 	value = append([]byte(nil), value...)
-	return p.write(ctx, MethodPut, func() (banyanplank.Version, error) {
+	return p.write(ctx, MethodPut, func() (banyanplank.Position, error) {
 		return p.shared.put(name, value, expect)
 	})
 }
 
 // Delete implements [banyanplank.ObjectStore].
 func (p *Platform) Delete(ctx context.Context, name string, expect banyanplank.Version) (err error) {
-	_, err = p.write(ctx, MethodDelete, func() (banyanplank.Version, error) {
-		return 0, p.shared.remove(name, expect)
+	_, err = p.write(ctx, MethodDelete, func() (banyanplank.Position, error) {
+		return banyanplank.Position{}, p.shared.remove(name, expect)
 	})
 	return err
 }
 
 // write counts a write and applies it with the faults of this client.
-func (p *Platform) write(ctx context.Context, method Method, apply func() (banyanplank.Version, error)) (version banyanplank.Version, err error) {
+func (p *Platform) write(ctx context.Context, method Method, apply func() (banyanplank.Position, error)) (position banyanplank.Position, err error) {
 	p.countCall(method)
 	if p.faults.isDown() {
-		return 0, banyanplank.ErrUnavailable
+		return position, banyanplank.ErrUnavailable
 	}
 	arrival := time.Now().Add(p.faults.requestDelay())
 	if banyanplank.Sleep(ctx, p.faults.requestDelay()) != nil {
 		time.AfterFunc(time.Until(arrival), func() { _, _ = apply() })
-		return 0, uncertainError(ctx)
+		return position, uncertainError(ctx)
 	}
-	version, err = apply()
+	position, err = apply()
 	if err == nil && p.faults.consumeLostReply() {
-		return 0, errors.Wrap(banyanplank.ErrUncertain, "injected fault: reply lost")
+		return banyanplank.Position{}, errors.Wrap(banyanplank.ErrUncertain, "injected fault: reply lost")
 	}
 	if banyanplank.Sleep(ctx, p.faults.replyDelay()) != nil {
-		return 0, uncertainError(ctx)
+		return banyanplank.Position{}, uncertainError(ctx)
 	}
-	return version, err
+	return position, err
 }
 
 // Watch implements [banyanplank.ObjectStore]. [Platform.SetDown] ends a pending
@@ -194,6 +199,10 @@
 	return instances, p.finishRead(ctx)
 }
 
+// Return makes the store continue from the copy of its objects from age ago, at most two minutes,
+// in the next era. Versions given out since are given out again.
+func (p *Platform) Return(age time.Duration) { p.shared.returnFrom(time.Now().Add(-age)) }
+
 // SetInstance adds an instance or replaces the one with the same ID.
 func (p *Platform) SetInstance(instance banyanplank.Instance) {
 	p.shared.setInstance(instance, true)
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -32,10 +32,10 @@
 			p := platform.New()
 			_, err := p.Put(t.Context(), "a", []byte("1"), 0)
 			is.NoErr(err)
-			version, err := p.Put(t.Context(), c.name, []byte("2"), c.expect)
+			position, err := p.Put(t.Context(), c.name, []byte("2"), c.expect)
 			is.True(errors.Is(err, c.want))
 			if c.want == nil {
-				is.Equal(version, banyanplank.Version(2))
+				is.Equal(position.Revision, banyanplank.Version(2))
 			}
 		})
 	}
@@ -55,11 +55,11 @@
 	first, err := p.Put(t.Context(), "a", nil, 0)
 	is.NoErr(err)
 	is.True(errors.Is(p.Delete(t.Context(), "a", 5), banyanplank.ErrConflict))
-	is.NoErr(p.Delete(t.Context(), "a", first))
-	is.True(errors.Is(p.Delete(t.Context(), "a", first), banyanplank.ErrNotFound))
+	is.NoErr(p.Delete(t.Context(), "a", first.Revision))
+	is.True(errors.Is(p.Delete(t.Context(), "a", first.Revision), banyanplank.ErrNotFound))
 	second, err := p.Put(t.Context(), "a", nil, 0)
 	is.NoErr(err)
-	is.True(second > first)
+	is.True(first.IsBefore(second))
 }
 
 func TestWriteWithLostReplyTakesEffect(t *testing.T) {
@@ -109,23 +109,55 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		p := platform.New()
-		version, err := p.Put(t.Context(), "a", []byte("old"), 0)
+		position, err := p.Put(t.Context(), "a", []byte("old"), 0)
 		is.NoErr(err)
 		time.Sleep(10 * time.Second)
-		_, err = p.Put(t.Context(), "a", []byte("new"), version)
+		_, err = p.Put(t.Context(), "a", []byte("new"), position.Revision)
 		is.NoErr(err)
 		p.SetReadLag(3 * time.Second)
 		object, err := p.Get(t.Context(), "a")
 		is.NoErr(err)
 		is.Equal(string(object.Value), "old")
 		started := time.Now()
-		objects, err := p.Watch(t.Context(), "a", version)
+		objects, err := p.Watch(t.Context(), "a", position.Revision)
 		is.NoErr(err)
 		is.Equal(string(objects[0].Value), "new")
 		is.Equal(time.Since(started), 3*time.Second)
 	})
 }
 
+// TestReturnRestoresOlderCopy guards against a fake store that keeps what it should have lost, or
+// that gives out positions twice.
+func TestReturnRestoresOlderCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := platform.New(platform.WithEra(1))
+		first, err := p.Put(t.Context(), "a", []byte("old"), 0)
+		is.NoErr(err)
+		is.Equal(first, banyanplank.Position{Era: 1, Revision: 1})
+		time.Sleep(5 * time.Second)
+		second, err := p.Put(t.Context(), "a", []byte("new"), first.Revision)
+		is.NoErr(err)
+		_, err = p.Put(t.Context(), "b", nil, 0)
+		is.NoErr(err)
+		p.Return(time.Second)
+		found, err := p.Get(t.Context(), "a")
+		is.NoErr(err)
+		is.Equal(found, banyanplank.Object{Name: "a", Version: first.Revision, Era: 2, Value: []byte("old")})
+		found, err = p.Get(t.Context(), "b")
+		is.True(errors.Is(err, banyanplank.ErrNotFound))
+		is.Equal(found, banyanplank.Object{Era: 2})
+		again, err := p.Put(t.Context(), "c", nil, 0)
+		is.NoErr(err)
+		is.Equal(again, banyanplank.Position{Era: 2, Revision: second.Revision})
+		p.SetReadLag(time.Second)
+		time.Sleep(500 * time.Millisecond)
+		found, err = p.Get(t.Context(), "a") // a late response
+		is.NoErr(err)
+		is.Equal(found.Position(), first)
+	})
+}
+
 func TestWatchWaitsForChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/standin/platform/shared.go
+++ b/standin/platform/shared.go
@@ -24,12 +24,13 @@
 
 // sharedState is the state shared by all clients of one platform.
 type sharedState struct {
-	mu          sync.Mutex
-	lastVersion banyanplank.Version
-	objects     map[string][]historyEntry[banyanplank.Object]
-	instances   map[banyanplank.InstanceID][]historyEntry[banyanplank.Instance]
-	changed     chan struct{}
-	callCounts  CallCounts
+	mu sync.Mutex
+	// positions holds the position of the last change.
+	positions  []historyEntry[banyanplank.Position]
+	objects    map[string][]historyEntry[banyanplank.Object]
+	instances  map[banyanplank.InstanceID][]historyEntry[banyanplank.Instance]
+	changed    chan struct{}
+	callCounts CallCounts
 }
 
 func newSharedState() *sharedState {
@@ -64,6 +65,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	object, ok = valueAt(s.objects[name], at)
+	object.Era = s.positionAt(at).Era
 	return cloneObject(object), ok
 }
 
@@ -78,6 +80,7 @@
 		}
 		object, ok := valueAt(history, at)
 		if ok && object.Version > after {
+			object.Era = s.positionAt(at).Era
 			objects = append(objects, cloneObject(object))
 		}
 	}
@@ -87,18 +90,18 @@
 
 // put writes the value if the object has the expected version, or doesn't exist
 // if expect is zero. Otherwise it returns [banyanplank.ErrConflict].
-func (s *sharedState) put(name string, value []byte, expect banyanplank.Version) (version banyanplank.Version, err error) {
+func (s *sharedState) put(name string, value []byte, expect banyanplank.Version) (position banyanplank.Position, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current, _ := valueAt(s.objects[name], time.Now())
 	if current.Version != expect {
-		return 0, banyanplank.ErrConflict
+		return position, banyanplank.ErrConflict
 	}
-	s.lastVersion++
-	object := banyanplank.Object{Name: name, Version: s.lastVersion, Value: value}
+	position = s.advance()
+	object := banyanplank.Object{Name: name, Version: position.Revision, Value: value}
 	s.objects[name] = appendHistory(s.objects[name], object, true)
 	s.notifyLocked()
-	return s.lastVersion, nil
+	return position, nil
 }
 
 // remove deletes the object if it has the expected version.
@@ -112,12 +115,46 @@
 	if current.Version != expect {
 		return banyanplank.ErrConflict
 	}
-	s.lastVersion++
+	s.advance()
 	s.objects[name] = appendHistory(s.objects[name], banyanplank.Object{}, false)
 	s.notifyLocked()
 	return nil
 }
 
+// positionAt returns the position of the store at the given time.
+func (s *sharedState) positionAt(at time.Time) (position banyanplank.Position) {
+	position, _ = valueAt(s.positions, at)
+	return position
+}
+
+// advance returns the position of the next change.
+func (s *sharedState) advance() (position banyanplank.Position) {
+	position = s.positionAt(time.Now())
+	position.Revision++
+	s.positions = appendHistory(s.positions, position, true)
+	return position
+}
+
+// setEra sets the era.
+func (s *sharedState) setEra(era banyanplank.Era) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.positions = appendHistory(s.positions, banyanplank.Position{Era: era, Revision: s.positionAt(time.Now()).Revision}, true)
+}
+
+// returnFrom restores the objects as they were at the given time, in the next era.
+func (s *sharedState) returnFrom(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, history := range s.objects {
+		object, ok := valueAt(history, at)
+		s.objects[name] = appendHistory(history, object, ok)
+	}
+	position := banyanplank.Position{Era: s.positionAt(time.Now()).Era + 1, Revision: s.positionAt(at).Revision}
+	s.positions = appendHistory(s.positions, position, true)
+	s.notifyLocked()
+}
+
 // setInstance records the current state of an instance.
 func (s *sharedState) setInstance(instance banyanplank.Instance, exists bool) {
 	s.mu.Lock()
--- a/store.go
+++ b/store.go
@@ -7,17 +7,24 @@
 )
 
 // Version is the platform's version of one object. Zero means that the object
-// does not exist. The versions of all objects come from one increasing counter.
+// does not exist. The versions of all objects come from one counter, which increases
+// within an [Era].
 type Version uint64
 
 // Object is an object in the platform's object API.
 type Object struct {
 	Name    string
 	Version Version
+	// Era is that of the store when it returned the object. Versions are compared together with
+	// it only. See [Object.Position].
+	Era Era
 	// Value is at most [MaxValueBytes] bytes long.
 	Value []byte
 }
 
+// Position returns the object's version and its era.
+func (o Object) Position() (position Position) { return Position{Era: o.Era, Revision: o.Version} }
+
 // The errors of an [ObjectStore].
 var (
 	// ErrNotFound means that no object has the name.
@@ -44,11 +51,12 @@
 // ObjectStore is the platform's object API. Every method counts as one call
 // against the platform's limits, including a Watch call that waits.
 type ObjectStore interface {
-	// Get returns the object with the given name, or [ErrNotFound].
+	// Get returns the object with the given name, or [ErrNotFound] with an object that has
+	// the era of the store only.
 	Get(ctx context.Context, name string) (object Object, err error)
 	// Put writes value if the object still has the version expect, and
-	// returns the new version. Expect zero creates the object.
-	Put(ctx context.Context, name string, value []byte, expect Version) (version Version, err error)
+	// returns the position of the change. Expect zero creates the object.
+	Put(ctx context.Context, name string, value []byte, expect Version) (position Position, err error)
 	// Delete removes the object if it still has the version expect.
 	Delete(ctx context.Context, name string, expect Version) (err error)
 	// List returns the objects whose names begin with prefix, in name order.
--- a/transport/storer/message.go
+++ b/transport/storer/message.go
@@ -30,14 +30,14 @@
 func NewListing(objects []banyanplank.Object) (listing Listing) {
 	listing.Objects = make([]ListedObject, 0, len(objects))
 	for _, o := range objects {
-		listing.Objects = append(listing.Objects, ListedObject(o))
+		listing.Objects = append(listing.Objects, ListedObject{Name: o.Name, Version: o.Version, Value: o.Value})
 	}
 	return listing
 }
 
 func (l Listing) objects() (objects []banyanplank.Object) {
 	for _, o := range l.Objects {
-		objects = append(objects, banyanplank.Object(o))
+		objects = append(objects, banyanplank.Object{Name: o.Name, Version: o.Version, Value: o.Value})
 	}
 	return objects
 }
--- a/transport/storer/oracle_test.go
+++ b/transport/storer/oracle_test.go
@@ -53,7 +53,7 @@
 	name := rapid.SampledFrom(objectNames).Draw(t, "name")
 	value := rapid.SliceOfN(rapid.Byte(), 0, 8).Draw(t, "value")
 	expect := m.expectation(t, name)
-	version, err := m.store.Put(t.Context(), name, value, expect)
+	position, err := m.store.Put(t.Context(), name, value, expect)
 	want := m.wantError(expect == m.objects[name].Version)
 	m.is.True(errors.Is(err, want))
 	if want != nil && !errors.Is(want, banyanplank.ErrUncertain) {
@@ -63,7 +63,7 @@
 	m.loseReply = false
 	m.objects[name] = banyanplank.Object{Name: name, Version: m.latest, Value: value}
 	if want == nil {
-		m.is.Equal(version, m.latest)
+		m.is.Equal(position.Revision, m.latest)
 	}
 }
 
--- a/transport/storer/storer.go
+++ b/transport/storer/storer.go
@@ -131,17 +131,17 @@
 }
 
 // Put implements [banyanplank.ObjectStore].
-func (s *Storer) Put(ctx context.Context, name string, value []byte, expect banyanplank.Version) (version banyanplank.Version, err error) {
+func (s *Storer) Put(ctx context.Context, name string, value []byte, expect banyanplank.Version) (position banyanplank.Position, err error) {
 	defer func() { err = errors.Wrapf(err, "put object %q", name) }()
 	if len(value) > banyanplank.MaxValueBytes {
-		return 0, errors.Wrapf(banyanplank.ErrTooLarge, "%d bytes", len(value))
+		return position, errors.Wrapf(banyanplank.ErrTooLarge, "%d bytes", len(value))
 	}
 	r, err := s.send(ctx, s.timeout, call{method: http.MethodPut, path: objectPath(name), body: value, expect: expect})
 	if err != nil {
-		return 0, err
+		return position, err
 	}
-	version, err = ParseETag(r.header.Get("ETag"))
-	return version, markNonNil(err, banyanplank.ErrUncertain)
+	version, err := ParseETag(r.header.Get("ETag"))
+	return banyanplank.Position{Revision: version}, markNonNil(err, banyanplank.ErrUncertain)
 }
 
 // Delete implements [banyanplank.ObjectStore].
--- a/transport/storer/storer_test.go
+++ b/transport/storer/storer_test.go
@@ -40,15 +40,15 @@
 			is := is.New(t)
 			_, s := startPlatform(t)
 			value := []byte{0, 1, 255, '\n'}
-			version, err := s.Put(t.Context(), object, value, 0)
+			position, err := s.Put(t.Context(), object, value, 0)
 			is.NoErr(err)
 			got, err := s.Get(t.Context(), object)
 			is.NoErr(err)
-			is.Equal(got, banyanplank.Object{Name: object, Version: version, Value: value})
+			is.Equal(got, banyanplank.Object{Name: object, Version: position.Revision, Value: value})
 			listed, err := s.List(t.Context(), object)
 			is.NoErr(err)
 			is.Equal(listed, []banyanplank.Object{got})
-			is.NoErr(s.Delete(t.Context(), object, version))
+			is.NoErr(s.Delete(t.Context(), object, position.Revision))
 			_, err = s.Get(t.Context(), object)
 			is.True(errors.Is(err, banyanplank.ErrNotFound))
 		})
@@ -162,11 +162,11 @@
 	objects, err := s.Watch(t.Context(), "a", 0)
 	is.NoErr(err)
 	is.Equal(len(objects), 0)
-	version, err := p.Put(t.Context(), "a", []byte("1"), 0)
+	position, err := p.Put(t.Context(), "a", []byte("1"), 0)
 	is.NoErr(err)
 	objects, err = s.Watch(t.Context(), "a", 0)
 	is.NoErr(err)
-	is.Equal(objects, []banyanplank.Object{{Name: "a", Version: version, Value: []byte("1")}})
+	is.Equal(objects, []banyanplank.Object{{Name: "a", Version: position.Revision, Value: []byte("1")}})
 }
 
 func TestWatchEndsAfterWait(t *testing.T) {
