End a watch of objects with the era of the store

Kinds.Watch returned the changes after a bare version in whatever era the store answered: after a return, a watcher would have missed what lies between and taken new versions for old ones. Nobody on the served path watches objects (the only caller, spreader, has a store without eras), so callers saw nothing of it.

ObjectStore.Watch now takes a position.

Tests of platform, standin, transport/storer, spreader, claimer, leaser and follower pass.

--- a/coordination/claimer/claimer_test.go
+++ b/coordination/claimer/claimer_test.go
@@ -103,7 +103,7 @@
 	return objects, nil
 }
 
-func (s *memoryStore) Watch(context.Context, string, banyanplank.Version) (objects []banyanplank.Object, err error) {
+func (s *memoryStore) Watch(context.Context, string, banyanplank.Position) (objects []banyanplank.Object, err error) {
 	return nil, nil
 }
 
--- a/coordination/spreader/executor.go
+++ b/coordination/spreader/executor.go
@@ -68,7 +68,7 @@
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	msg = RootMsg{FromWatch: true, Sent: time.Now()}
-	objects, err := e.store.Watch(ctx, accepter.RootName, c.After)
+	objects, err := e.store.Watch(ctx, accepter.RootName, banyanplank.Position{Revision: c.After})
 	msg.Err = err
 	for _, object := range objects {
 		if object.Name == accepter.RootName {
--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -118,7 +118,7 @@
 		http.Error(w, "query parameter wait is not a duration", http.StatusBadRequest)
 		return
 	}
-	objects, err := p.watch(r.Context(), query.Get("prefix"), banyanplank.Version(after), min(wait, p.watchTimeout))
+	objects, err := p.watch(r.Context(), query.Get("prefix"), banyanplank.Position{Revision: banyanplank.Version(after)}, min(wait, p.watchTimeout))
 	if err != nil {
 		writeError(w, err)
 		return
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -142,12 +142,12 @@
 
 // Watch implements [banyanplank.ObjectStore]. [Platform.SetDown] ends a pending
 // watch with [banyanplank.ErrUnavailable].
-func (p *Platform) Watch(ctx context.Context, prefix string, after banyanplank.Version) (objects []banyanplank.Object, err error) {
+func (p *Platform) Watch(ctx context.Context, prefix string, after banyanplank.Position) (objects []banyanplank.Object, err error) {
 	return p.watch(ctx, prefix, after, p.watchTimeout)
 }
 
 // watch is [Platform.Watch] with wait as its maximum duration.
-func (p *Platform) watch(ctx context.Context, prefix string, after banyanplank.Version, wait time.Duration) (objects []banyanplank.Object, err error) {
+func (p *Platform) watch(ctx context.Context, prefix string, after banyanplank.Position, wait time.Duration) (objects []banyanplank.Object, err error) {
 	err = p.beginRead(ctx, MethodWatch)
 	if err != nil {
 		return nil, err
@@ -158,7 +158,10 @@
 		if p.faults.isDown() {
 			return nil, banyanplank.ErrUnavailable
 		}
-		objects = p.shared.list(prefix, after, p.readTime())
+		if era := p.shared.era(p.readTime()); era > after.Era {
+			return nil, errors.Mark(errors.Wrapf(banyanplank.ErrNewEra, "era %d", era), banyanplank.ErrCompacted)
+		}
+		objects = p.shared.list(prefix, after.Revision, p.readTime())
 		if len(objects) > 0 {
 			return objects, p.finishRead(ctx)
 		}
--- a/standin/platform/shared.go
+++ b/standin/platform/shared.go
@@ -121,6 +121,13 @@
 	return nil
 }
 
+// era returns the era of the store at the given time.
+func (s *sharedState) era(at time.Time) (era banyanplank.Era) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.positionAt(at).Era
+}
+
 // positionAt returns the position of the store at the given time.
 func (s *sharedState) positionAt(at time.Time) (position banyanplank.Position) {
 	position, _ = valueAt(s.positions, at)
--- a/store.go
+++ b/store.go
@@ -61,10 +61,11 @@
 	Delete(ctx context.Context, name string, expect Version) (err error)
 	// List returns the objects whose names begin with prefix, in name order.
 	List(ctx context.Context, prefix string) (objects []Object, err error)
-	// Watch waits until an object whose name begins with prefix has a version
-	// above after, and returns the changed objects that still exist. It
-	// returns neither objects nor an error if the store ends the wait early.
-	Watch(ctx context.Context, prefix string, after Version) (objects []Object, err error)
+	// Watch waits until an object whose name begins with prefix changes after a
+	// position, and returns the changed objects that still exist. It
+	// returns neither objects nor an error if the store ends the wait early, and
+	// [ErrNewEra] if the store is in a later era.
+	Watch(ctx context.Context, prefix string, after Position) (objects []Object, err error)
 }
 
 // InstanceState is the state of an instance in the platform's list.
--- a/transport/storer/storer.go
+++ b/transport/storer/storer.go
@@ -161,11 +161,11 @@
 }
 
 // Watch implements [banyanplank.ObjectStore].
-func (s *Storer) Watch(ctx context.Context, prefix string, after banyanplank.Version) (objects []banyanplank.Object, err error) {
+func (s *Storer) Watch(ctx context.Context, prefix string, after banyanplank.Position) (objects []banyanplank.Object, err error) {
 	defer func() { err = errors.Wrapf(err, "watch objects %q", prefix) }()
 	query := url.Values{
 		"prefix": {prefix},
-		"after":  {strconv.FormatUint(uint64(after), 10)},
+		"after":  {strconv.FormatUint(uint64(after.Revision), 10)},
 		"wait":   {s.watchWait.String()},
 	}
 	var listing Listing
--- a/transport/storer/storer_test.go
+++ b/transport/storer/storer_test.go
@@ -90,7 +90,7 @@
 	var group conc.WaitGroup
 	group.Go(func() {
 		defer cancel()
-		_, _ = p.Client().Watch(t.Context(), "a", 0)
+		_, _ = p.Client().Watch(t.Context(), "a", banyanplank.Position{})
 	})
 	_, err := s.Put(ctx, "a", nil, 0)
 	is.True(errors.Is(err, banyanplank.ErrUncertain))
@@ -159,12 +159,12 @@
 func TestWatchOverHTTP(t *testing.T) {
 	is := is.New(t)
 	p, s := startPlatform(t)
-	objects, err := s.Watch(t.Context(), "a", 0)
+	objects, err := s.Watch(t.Context(), "a", banyanplank.Position{})
 	is.NoErr(err)
 	is.Equal(len(objects), 0)
 	position, err := p.Put(t.Context(), "a", []byte("1"), 0)
 	is.NoErr(err)
-	objects, err = s.Watch(t.Context(), "a", 0)
+	objects, err = s.Watch(t.Context(), "a", banyanplank.Position{})
 	is.NoErr(err)
 	is.Equal(objects, []banyanplank.Object{{Name: "a", Version: position.Revision, Value: []byte("1")}})
 }
@@ -172,7 +172,7 @@
 func TestWatchEndsAfterWait(t *testing.T) {
 	is := is.New(t)
 	p, s := startPlatform(t, storer.WithWait(time.Millisecond))
-	objects, err := s.Watch(t.Context(), "a", 0)
+	objects, err := s.Watch(t.Context(), "a", banyanplank.Position{})
 	is.NoErr(err)
 	is.Equal(len(objects), 0)
 	is.Equal(p.Calls().Watch, 1)
@@ -185,7 +185,7 @@
 	defer listener.Close()
 	s, err := storer.New("http://"+listener.Addr().String(), storer.WithWait(time.Millisecond), storer.WithTimeout(time.Millisecond))
 	is.NoErr(err)
-	_, err = s.Watch(t.Context(), "a", 0)
+	_, err = s.Watch(t.Context(), "a", banyanplank.Position{})
 	is.True(errors.Is(err, banyanplank.ErrUnavailable))
 	is.True(errors.Is(err, context.DeadlineExceeded))
 }
@@ -195,7 +195,7 @@
 	_, s := startPlatform(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, err := s.Watch(ctx, "a", 0)
+	_, err := s.Watch(ctx, "a", banyanplank.Position{})
 	is.True(errors.Is(err, banyanplank.ErrUnavailable))
 	is.True(errors.Is(err, context.Canceled))
 }
