Use an endpoint that wrote again after its time to return

Cause: an entry that heard late of an endpoint's new registration had given it up after two seconds, and then took the list of a peer for the older copy: it kept the endpoint out for another 5.6 s, as one that had left.

Change: what left in an era of the store, and is listed in that era, has written again.

--- a/coordination/surveyor/held.go
+++ b/coordination/surveyor/held.go
@@ -67,8 +67,11 @@
 	until    time.Time
 }
 
-// departure is the end of an incarnation of an endpoint.
-type departure struct{ born, at time.Time }
+// departure is the end of an incarnation of an endpoint, and the era in which it was known.
+type departure struct {
+	born, at time.Time
+	era      banyanplank.Era
+}
 
 // newHeld returns a held with nothing in it.
 func newHeld() (h held) {
@@ -80,8 +83,8 @@
 }
 
 // recordDeparture records that an endpoint has left.
-func (h *held) recordDeparture(now time.Time, backend banyanplank.Backend) {
-	h.departures[backend.ID] = departure{born: backend.Born, at: now}
+func (m *Model) recordDeparture(now time.Time, backend banyanplank.Backend) {
+	m.held.departures[backend.ID] = departure{born: backend.Born, at: now, era: m.topic(banyanplank.TopicBackends).position.Era}
 }
 
 // recordReturn records that the store has returned from an older copy. Endpoints that the copy
@@ -138,13 +141,14 @@
 	case known != nil && isHeld && backend.Born.Equal(known.backend.Born):
 		// The peer knows that it has left.
 		delete(m.backends, backend.ID)
-		m.held.recordDeparture(now, known.backend)
+		m.held.departures[backend.ID] = departure{born: backend.Born, at: now}
 	case known != nil:
 		backend.Leaving = backend.Leaving || known.backend.Leaving && known.backend.Born.Equal(backend.Born)
 		return backend, true
 	}
 	left, ok := m.held.departures[backend.ID]
-	if !isHeld && (!ok || !left.born.Equal(backend.Born)) {
+	// One that left in this era has written again since.
+	if !isHeld && (!ok || !left.born.Equal(backend.Born) || left.era == msg.Position.Era) {
 		return backend, true
 	}
 	m.held.backends[backend.ID] = heldBackend{backend: backend, position: msg.Position, until: m.topic(msg.Topic).returnedAt.Add(hold)}
--- a/coordination/surveyor/topics.go
+++ b/coordination/surveyor/topics.go
@@ -77,7 +77,7 @@
 		return
 	}
 	delete(m.backends, id)
-	m.held.recordDeparture(now, b.backend)
+	m.recordDeparture(now, b.backend)
 	m.logEvent(Note{Event: "endpoint gone", Topic: banyanplank.TopicBackends, Key: string(id), Position: position})
 }
 
