Take no earlier incarnation of an endpoint from a copy

Cause: a copy that lists an earlier incarnation of an endpoint, under the same name, replaced the one that the entry knew, or that had left, and got its calls: at the same address, the process that runs there may be leaving.

Change: an incarnation that is older than the known one or than the last one that left is held like one that left.

--- a/coordination/surveyor/held.go
+++ b/coordination/surveyor/held.go
@@ -137,6 +137,8 @@
 	known := m.backends[backend.ID]
 	switch {
 	case known != nil && backend.Born.Before(known.backend.Born):
+		// The copy has an earlier incarnation, which has ended.
+		m.removeBackend(now, backend.ID, msg.Position)
 		return backend, false
 	case known != nil && isHeld && backend.Born.Equal(known.backend.Born):
 		// The peer knows that it has left.
@@ -148,7 +150,8 @@
 	}
 	left, ok := m.held.departures[backend.ID]
 	// One that left in this era has written again since.
-	if !isHeld && (!ok || !left.born.Equal(backend.Born) || left.era == msg.Position.Era) {
+	hasReturned := left.born.Equal(backend.Born) && left.era == msg.Position.Era
+	if !isHeld && (!ok || backend.Born.After(left.born) || hasReturned) {
 		return backend, true
 	}
 	m.held.backends[backend.ID] = heldBackend{backend: backend, position: msg.Position, until: m.topic(msg.Topic).returnedAt.Add(hold)}
