Save findings again after the store returned

Once an entry learns of the new era, it saves its findings again, or removes them if it has none any more, with one write after a random delay of up to 1 s beyond the usual 0.2 s. Entries that never wrote don't. Convictions stay in force in memory meanwhile.

--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -47,6 +47,8 @@
 	urgentBeats atomic.Int32
 	// findingsChanged holds a token when findings may have changed since they were saved.
 	findingsChanged chan struct{}
+	// findingsLost is set while the store may lack the findings that were saved.
+	findingsLost atomic.Bool
 	// announced holds the topic positions that the heartbeats to other zones last
 	// carried, and the time since which they carry them. Only the goroutine that
 	// composes heartbeats uses it.
--- a/gateway/era.go
+++ b/gateway/era.go
@@ -38,6 +38,7 @@
 	d.duties.setEra(era)
 	if previous > 0 {
 		d.gateway.counters.set.GetOrCreateCounter("banyanplank_store_returns_total").Inc()
+		d.forgetSavedFindings()
 	}
 	d.logger.Info().Uint64("previous", uint64(previous)).Uint64("era", uint64(era)).Msg("store era")
 }
--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -19,8 +20,20 @@
 	// staleFindingsAge is the age at which findings of another entry are removed if none
 	// of them counts any more.
 	staleFindingsAge = time.Hour
+	// returnSpread is the time over which entries save their findings again after the store
+	// returned from an older copy.
+	returnSpread = time.Second
 )
 
+// savedFindings is what the store holds of this entry.
+type savedFindings struct {
+	// summary is that of the last write. isKnown is unset if the store may have lost that.
+	summary string
+	isKnown bool
+	// hasWritten is set once this entry wrote at all.
+	hasWritten bool
+}
+
 // keepFindings loads the stored findings on prompts that crash endpoints, and saves those
 // of this entry, until ctx ends. Running entries tell each other; the store is for the case
 // that all of them restart.
@@ -30,7 +43,7 @@
 			return nil
 		}
 	}
-	saved := ""
+	saved := savedFindings{isKnown: true}
 	for {
 		select {
 		case <-ctx.Done():
@@ -38,6 +51,9 @@
 		case <-d.findingsChanged:
 		}
 		delay := settleTime
+		if d.findingsLost.Load() {
+			delay += rand.N(returnSpread)
+		}
 		for banyanplank.Sleep(ctx, delay) == nil && !d.saveFindings(ctx, &saved) {
 			delay = keepRetryInterval
 		}
@@ -52,6 +68,13 @@
 	}
 }
 
+// forgetSavedFindings makes the findings be saved again, as the store may have lost them or hold
+// some that were removed.
+func (d *Daemon) forgetSavedFindings() {
+	d.findingsLost.Store(true)
+	d.markFindingsChanged()
+}
+
 // loadFindings merges the stored findings of all entries. It reports whether the store
 // replied.
 func (d *Daemon) loadFindings(ctx context.Context) (ok bool) {
@@ -88,18 +111,22 @@
 
 // saveFindings saves the findings of this entry unless they are the same as saved. It
 // reports whether they are saved.
-func (d *Daemon) saveFindings(ctx context.Context, saved *string) (ok bool) {
+func (d *Daemon) saveFindings(ctx context.Context, saved *savedFindings) (ok bool) {
+	if d.findingsLost.Swap(false) {
+		saved.isKnown = !saved.hasWritten
+	}
 	findings := d.gateway.crashTracker.FindingsToSave(time.Now())
 	summary := summarize(findings)
-	if summary == *saved {
+	if summary == saved.summary && saved.isKnown {
 		return true
 	}
+	saved.hasWritten = true
 	err := d.findings.SaveFindings(ctx, d.self.ID, banyanplank.StoredFindings{At: time.Now(), Findings: findings})
 	if err != nil {
 		d.logger.Warn().Err(err).Int("findings", len(findings)).Msg("findings not saved")
 		return false
 	}
-	*saved = summary
+	saved.summary, saved.isKnown = summary, true
 	d.logger.Info().Int("findings", len(findings)).Str("content", summary).Msg("findings saved")
 	return true
 }
--- a/gateway/keeper_test.go
+++ b/gateway/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"maps"
 	"net/netip"
@@ -26,6 +27,8 @@
 	away   bool
 	saved  map[banyanplank.DaemonID]banyanplank.StoredFindings
 	writes int
+	// writtenAt is when an entry wrote last.
+	writtenAt map[banyanplank.DaemonID]time.Time
 }
 
 func (m *memoryFindings) LoadFindings(context.Context) (findings map[banyanplank.DaemonID]banyanplank.StoredFindings, err error) {
@@ -44,6 +47,9 @@
 		return banyanplank.ErrUnavailable
 	}
 	m.writes++
+	if m.writtenAt != nil {
+		m.writtenAt[id] = time.Now()
+	}
 	if m.saved[id] = findings; len(findings.Findings) == 0 {
 		delete(m.saved, id)
 	}
@@ -57,6 +63,20 @@
 	return m.writes, len(m.saved)
 }
 
+// find returns what an entry saved, and when it wrote last.
+func (m *memoryFindings) find(id banyanplank.DaemonID) (findings banyanplank.StoredFindings, writtenAt time.Time) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.saved[id], m.writtenAt[id]
+}
+
+// restore replaces all objects by that of one entry.
+func (m *memoryFindings) restore(id banyanplank.DaemonID, findings banyanplank.StoredFindings) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.saved = map[banyanplank.DaemonID]banyanplank.StoredFindings{id: findings}
+}
+
 func (m *memoryFindings) setAway(away bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -65,14 +85,82 @@
 
 // startKeeper starts an entry that only keeps findings, and returns its crash tracker.
 func startKeeper(ctx context.Context, group *conc.WaitGroup, id banyanplank.DaemonID, store banyanplank.FindingStore) (tracker *suspecter.CrashTracker) {
-	d := &Daemon{
+	return startKeeperDaemon(ctx, group, id, store).gateway.crashTracker
+}
+
+// startKeeperDaemon starts an entry that only keeps findings.
+func startKeeperDaemon(ctx context.Context, group *conc.WaitGroup, id banyanplank.DaemonID, store banyanplank.FindingStore) (d *Daemon) {
+	d = &Daemon{
 		self: banyanplank.Member{ID: id}, findings: store, logger: logger.New(io.Discard),
 		beater: beater.New(netip.AddrPort{}, nil, nil, nil), findingsChanged: make(chan struct{}, 1),
 	}
-	tracker = suspecter.NewCrashTracker(suspecter.WithUrgentHandler(d.sendUrgently))
-	d.gateway = &Gateway{crashTracker: tracker, admission: newAdmission(balancer.New())}
+	tracker := suspecter.NewCrashTracker(suspecter.WithUrgentHandler(d.sendUrgently))
+	d.gateway = &Gateway{crashTracker: tracker, admission: newAdmission(balancer.New()), counters: newCounters()}
 	group.Go(func() { _ = d.keepFindings(ctx) })
-	return tracker
+	return d
+}
+
+// TestFindingsAreSavedAgainInNewEra guards against findings that the store lost with its return
+// from an older copy, so that a crashing part is sent again once all entries restart; against
+// findings that were removed and are back in the copy; and against writes of all entries at one
+// moment, or of those that have nothing in the store.
+func TestFindingsAreSavedAgainInNewEra(t *testing.T) {
+	const crashed = 6
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &memoryFindings{saved: make(map[banyanplank.DaemonID]banyanplank.StoredFindings), writtenAt: make(map[banyanplank.DaemonID]time.Time)}
+		var group conc.WaitGroup
+		ctx, kill := context.WithCancel(t.Context())
+		var entries []*Daemon
+		for i := range crashed + 2 {
+			d := startKeeperDaemon(ctx, &group, banyanplank.DaemonID(fmt.Sprint("e", i)), store)
+			entries = append(entries, d)
+			if d.RecordEra(0, 1); i > crashed {
+				continue // has no findings
+			}
+			part := []banyanplank.PartID{banyanplank.PartID(i + 1)}
+			d.gateway.crashTracker.RecordBroken(time.Now(), suspecter.Run{Endpoint: "1", Parts: part, Began: time.Now().Add(-time.Second)})
+			d.gateway.crashTracker.RecordDeath(time.Now(), "1", time.Time{})
+		}
+		time.Sleep(2 * settleTime)
+		writes, objects := store.counts()
+		is.Equal(writes, crashed+1)
+		is.Equal(objects, crashed+1)
+		removed := entries[crashed]
+		older, _ := store.find(removed.self.ID)
+		removed.gateway.crashTracker.RecordAnswered(time.Now(), []banyanplank.PartID{crashed + 1})
+		time.Sleep(2 * settleTime)
+		writes, objects = store.counts()
+		is.Equal(writes, crashed+2)
+		is.Equal(objects, crashed)
+
+		store.restore(removed.self.ID, older)
+		store.setAway(true) // for a moment
+		returned := time.Now()
+		for _, d := range entries {
+			d.RecordEra(1, 2)
+		}
+		time.Sleep(settleTime)
+		store.setAway(false)
+		time.Sleep(3 * time.Second)
+		after, objects := store.counts()
+		is.Equal(after-writes, crashed+1) // one of each, and none of the last
+		is.Equal(objects, crashed)
+		back, _ := store.find(removed.self.ID)
+		is.Equal(len(back.Findings), 0)
+		moments := make(map[time.Duration]bool)
+		for _, d := range entries[:crashed] {
+			_, writtenAt := store.find(d.self.ID)
+			after := writtenAt.Sub(returned)
+			is.True(after > 0 && after <= settleTime+returnSpread+keepRetryInterval)
+			moments[after.Truncate(time.Millisecond)] = true
+		}
+		is.True(len(moments) > 1)
+		verdict, _ := entries[0].gateway.crashTracker.PartsVerdict(time.Now(), []banyanplank.PartID{1})
+		is.Equal(verdict, suspecter.VerdictRefused) // as before
+		kill()
+		group.Wait()
+	})
 }
 
 // TestFindingsSurviveRestartOfAllEntries guards against a crashing part that is sent again
