Forget a held endpoint that a later list lacks

Cause: an endpoint that was held against one copy of the store, and that the list after the next return no longer had, got calls again when its time had passed. Found by the model test (rapid).

Change: a full list also ends what is held.

--- a/coordination/surveyor/topics.go
+++ b/coordination/surveyor/topics.go
@@ -1,6 +1,7 @@
 package surveyor
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
@@ -33,6 +34,7 @@
 			m.removeBackend(now, id, msg.Position)
 		}
 	}
+	maps.DeleteFunc(m.held.backends, func(id banyanplank.BackendID, _ heldBackend) bool { return !present[id] })
 }
 
 // addBackend adds or updates an endpoint.
