Count an endpoint as departed only if that was seen

Cause: the time in which an endpoint may return ended while the store was away a second time. It counted as departed, and the next copy, which had its new registration, was not believed for 5.6 s.

Change: the end of the time to return alone is no departure.

--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -351,7 +351,6 @@
 		if !b.missingSince.IsZero() && !m.outage.hasGrace(now) {
 			delete(m.backends, id)
 			changed = true
-			m.recordDeparture(now, b.backend)
 			m.logEvent(Note{Event: "endpoint gone", Topic: banyanplank.TopicBackends, Key: string(id), Age: now.Sub(b.missingSince)})
 		}
 	}
