Let holds last while the store is away again

What callers would have seen after the store has returned from an older copy and is away again within seconds: calls to endpoints that have left or said that they leave, an older configuration in force, and no endpoint left two seconds after a copy in which all had lapsed.

Cause: the time of the holds, of the memory of departures and for endpoints to return passed by the clock alone, while nobody could write again; an endpoint that leaves became ready by a list after the hold.

Change: these times stand still while the topic is lost or the process was paused (the time to return only while no live entry that watches reaches the store); an incarnation that leaves stays so in lists.

Evidence: TestHoldsOutlastAbsenceOfStore, TestLeavingOutlastsRepeatedLists and TestMissingEndpointOutlastsSecondAbsence failed before on.

--- a/coordination/surveyor/held.go
+++ b/coordination/surveyor/held.go
@@ -100,6 +100,38 @@
 	}
 }
 
+// extendHolds lets the time of the holds pass only while this process runs and the store answers it:
+// otherwise, nothing that was written again can be known. The same holds for the time in which
+// endpoints may return, while no entry reaches the store.
+func (m *Model) extendHolds(now time.Time) {
+	elapsed := now.Sub(m.outage.updatedAt)
+	if m.topic(banyanplank.TopicBackends).isLost && m.outage.hasGrace(m.outage.updatedAt) && !m.isPlatformReached(now) {
+		m.outage.graceUntil = m.outage.graceUntil.Add(elapsed)
+	}
+	for name, t := range m.topics {
+		if t.returnedAt.IsZero() || !t.isLost && elapsed <= maxUpdateGap {
+			continue
+		}
+		t.returnedAt = t.returnedAt.Add(elapsed)
+		switch name {
+		case banyanplank.TopicBackends:
+			for id, h := range m.held.backends {
+				h.until = h.until.Add(elapsed)
+				m.held.backends[id] = h
+			}
+		case banyanplank.TopicZonesOut:
+			for zone, until := range m.held.zones {
+				m.held.zones[zone] = until.Add(elapsed)
+			}
+		}
+	}
+}
+
+// backendHold returns the time for endpoints that have left.
+func (m *Model) backendHold() (hold time.Duration) {
+	return departureHeartbeats*m.endpointHeartbeat + reregisterGrace
+}
+
 // isHolding reports whether a topic was read in a new era of the store no longer than a time ago.
 func (m *Model) isHolding(now time.Time, topic banyanplank.Topic, hold time.Duration) bool {
 	returnedAt := m.topic(topic).returnedAt
@@ -130,11 +162,15 @@
 // longer than an endpoint that doesn't.
 func (m *Model) holdBackend(now time.Time, backend banyanplank.Backend, isHeld bool, msg follower.TopicMsg) (current banyanplank.Backend, ok bool) {
 	delete(m.held.backends, backend.ID)
-	hold := departureHeartbeats*m.endpointHeartbeat + reregisterGrace
+	hold := m.backendHold()
+	known := m.backends[backend.ID]
+	if msg.IsFullList && known != nil && known.backend.Leaving && known.backend.Born.Equal(backend.Born) {
+		// The endpoint may be unable to write that again.
+		backend.Leaving = true
+	}
 	if !msg.IsFullList || !m.isHolding(now, msg.Topic, hold) {
 		return backend, true
 	}
-	known := m.backends[backend.ID]
 	switch {
 	case known != nil && backend.Born.Before(known.backend.Born):
 		// The copy has an earlier incarnation, which has ended.
@@ -145,7 +181,6 @@
 		delete(m.backends, backend.ID)
 		m.held.departures[backend.ID] = departure{born: backend.Born, at: now}
 	case known != nil:
-		backend.Leaving = backend.Leaving || known.backend.Leaving && known.backend.Born.Equal(backend.Born)
 		return backend, true
 	}
 	left, ok := m.held.departures[backend.ID]
@@ -190,7 +225,7 @@
 		}
 	}
 	for id, left := range m.held.departures {
-		if now.Sub(left.at) >= departureMemory {
+		if now.Sub(left.at) >= departureMemory && !m.isHolding(now, banyanplank.TopicBackends, m.backendHold()) {
 			delete(m.held.departures, id)
 		}
 	}
--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -214,6 +214,7 @@
 // Update implements [banyanplank.Model].
 func (m *Model) Update(now time.Time, msg banyanplank.Msg) (model banyanplank.Model, commands []banyanplank.Command) {
 	m.commands, m.notes = nil, nil
+	m.extendHolds(now)
 	m.outage.recordUpdate(now)
 	changed := true
 	switch msg := msg.(type) {
