Forget positions that neither the store nor the peer has

Change: the relay forgets a position that its peer doesn't have when it is asked; a hint beyond what a linearizable response shows is forgotten, of the same era, too. The era on the metrics never falls.

--- a/gateway/era.go
+++ b/gateway/era.go
@@ -33,7 +33,9 @@
 // RecordEra records that a response shows a later era of the store. The first one is no return
 // from an older copy.
 func (d *Daemon) RecordEra(previous, era banyanplank.Era) {
-	d.era.latest.Store(uint64(era))
+	// Responses that arrive together may report their eras in any order.
+	for latest := d.era.latest.Load(); uint64(era) > latest && !d.era.latest.CompareAndSwap(latest, uint64(era)); latest = d.era.latest.Load() {
+	}
 	d.era.changedAt.Store(time.Now().UnixNano())
 	d.duties.setEra(era)
 	if previous > 0 {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -164,12 +164,28 @@
 	}
 }
 
+// forgetPosition forgets a position that its peer didn't have when it was asked. Peers repeat theirs
+// in their heartbeats.
+func (r *relay) forgetPosition(topic banyanplank.Topic, source peerPosition) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.newest[topic] == source {
+		delete(r.newest, topic)
+	}
+}
+
 // FetchTopic implements follower.Peers.
 func (r *relay) FetchTopic(ctx context.Context, topic banyanplank.Topic) (entries []banyanplank.DiscoveryItem, position banyanplank.Position, err error) {
 	defer func() { err = errors.Wrapf(err, "request topic %s from peer", topic) }()
 	r.mutex.Lock()
 	source := r.newest[topic]
 	r.mutex.Unlock()
+	isBusy := false
+	defer func() {
+		if !isBusy && (err != nil || position.IsBefore(source.position)) {
+			r.forgetPosition(topic, source)
+		}
+	}()
 	if !source.peer.IsValid() {
 		return nil, position, errors.New("no peer has reported a revision of the topic")
 	}
@@ -183,6 +199,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
+		isBusy = response.StatusCode == http.StatusServiceUnavailable
 		return nil, position, errors.Newf("peer responded with status %d", response.StatusCode)
 	}
 	var state topicState
--- a/state/follower/cursor.go
+++ b/state/follower/cursor.go
@@ -82,10 +82,8 @@
 	if msg.Position.Era < c.position.Era {
 		return errors.Wrapf(banyanplank.ErrUnavailable, "response at %s is older than %s", msg.Position, c.position)
 	}
-	if msg.IsFullList {
-		c.refuteHint(hinted, msg.Position)
-	}
 	if isCurrent {
+		c.refuteHint(hinted, msg.Position)
 		msg.ConfirmedAt = confirmationTime(c.calledAt, wait)
 		c.confirm(msg.ConfirmedAt)
 	}
@@ -166,13 +164,13 @@
 	return time.Since(c.calledAt) >= interval || c.isUnconfirmed()
 }
 
-// refuteHint forgets a hint of a later era than that of a list which the platform returned
-// afterwards. Peers repeat it if it is true.
-func (c *cursor) refuteHint(hinted, listed banyanplank.Position) {
+// refuteHint forgets a hint that lies behind the position which the platform had afterwards. Peers
+// repeat it if it is true.
+func (c *cursor) refuteHint(hinted, current banyanplank.Position) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if hinted.Era > listed.Era && c.hint.position == hinted {
-		c.hint.position = listed
+	if current.IsBefore(hinted) && c.hint.position == hinted {
+		c.hint.position = current
 	}
 }
 
