--- a/coordination/beater/beater_test.go
+++ b/coordination/beater/beater_test.go
@@ -229,7 +229,7 @@
 		From: "front-kathmandu-a-12", Incarnation: 1792411275012886564, Sequence: 400, Zone: "kathmandu-a",
 		Peer: netip.MustParseAddrPort("10.1.0.40:7340"), Caller: netip.MustParseAddrPort("10.1.0.40:8227"),
 		Ready: true, InFlight: map[banyanplank.BackendID]int{"i-0cbe7a5051": 1, "i-6838c98f06": 2},
-		Positions: map[banyanplank.Topic]banyanplank.Position{"routing": {Revision: 3000}, "backends": {Revision: 3100}, "zonesout": {Revision: 2000}, "members": {Revision: 2900}},
+		Positions: map[banyanplank.Topic]banyanplank.Position{"routing": {Era: 3, Revision: 3000}, "backends": {Era: 3, Revision: 3100}, "zonesout": {Era: 3, Revision: 2000}, "members": {Era: 3, Revision: 2900}},
 	}
 	datagram, err := encode(heartbeat)
 	is.NoErr(err)
