List the entries again after the store has returned

What operators would have seen: two entries that both lead, and hand out orders to the same group, for up to 20 s: one that registered after the copy and one that starts then are in nobody's list, and don't know each other.

Cause: an entry learns that the copy lacks it at its next poll of the list, each 20 s.

Change: once an entry learns of a new era, it lists the entries again within 5 s at random, and registers if it is missing. It asks no peers, which don't pass that list on.

TestPolledTopicIsListedInNewEra failed before (the list was taken from a peer). By reading of the review; no run has shown two leaders.

--- a/gateway/era.go
+++ b/gateway/era.go
@@ -41,6 +41,8 @@
 	if previous > 0 {
 		d.gateway.counters.set.GetOrCreateCounter("banyanplank_store_returns_total").Inc()
 		d.forgetSavedFindings()
+		// The copy may lack this entry.
+		d.follower.RecordHint(banyanplank.TopicMembers, banyanplank.Position{Era: era})
 	}
 	d.logger.Info().Uint64("previous", uint64(previous)).Uint64("era", uint64(era)).Msg("store era")
 }
--- a/gateway/keeper_test.go
+++ b/gateway/keeper_test.go
@@ -18,6 +18,7 @@
 	"github.com/banyanplank/banyanplank/coordination/balancer"
 	"github.com/banyanplank/banyanplank/coordination/beater"
 	"github.com/banyanplank/banyanplank/coordination/suspecter"
+	"github.com/banyanplank/banyanplank/state/follower"
 	"github.com/banyanplank/banyanplank/transport/logger"
 )
 
@@ -92,7 +93,7 @@
 func startKeeperDaemon(ctx context.Context, group *conc.WaitGroup, id banyanplank.DaemonID, store banyanplank.FindingStore) (d *Daemon) {
 	d = &Daemon{
 		self: banyanplank.Member{ID: id}, findings: store, logger: logger.New(io.Discard),
-		beater: beater.New(netip.AddrPort{}, nil, nil, nil), findingsChanged: make(chan struct{}, 1),
+		beater: beater.New(netip.AddrPort{}, nil, nil, nil), findingsChanged: make(chan struct{}, 1), follower: follower.New(nil, nil),
 	}
 	tracker := suspecter.NewCrashTracker(suspecter.WithUrgentHandler(d.sendUrgently))
 	d.gateway = &Gateway{crashTracker: tracker, admission: newAdmission(balancer.New()), counters: newCounters()}
--- a/state/follower/cursor.go
+++ b/state/follower/cursor.go
@@ -32,6 +32,8 @@
 	hint         *hint
 	pollInterval time.Duration
 	isWatcher    func() bool
+	// asksPeers is set if peers pass on the topic.
+	asksPeers bool
 	// needsConfirmation is set if changes must be known soon after they are made.
 	needsConfirmation bool
 	position          banyanplank.Position
@@ -278,6 +280,11 @@
 // after a random part of [newEraDelay].
 func (c *cursor) catchUpWithEra(ctx context.Context) (caughtUp bool) {
 	era := c.position.Era
+	if !c.asksPeers {
+		// The loop in run checks ctx.
+		_ = banyanplank.Sleep(ctx, rand.N(c.pollInterval/4))
+		return false
+	}
 	if !c.isWatcher() {
 		c.awaitNewEra(ctx, nil, c.position, newEraWait)
 	}
@@ -296,7 +303,7 @@
 // catchUp fetches a topic from a peer and reports whether this daemon now knows it up to
 // the hinted position.
 func (c *cursor) catchUp(ctx context.Context) (caughtUp bool) {
-	if c.peers == nil {
+	if c.peers == nil || !c.asksPeers {
 		return false
 	}
 	if err := c.fetchFromPeer(ctx); err != nil {
@@ -311,7 +318,7 @@
 
 // fetchFromPeer fetches a topic from a peer, and sends it if the peer is ahead.
 func (c *cursor) fetchFromPeer(ctx context.Context) (err error) {
-	if c.peers == nil {
+	if c.peers == nil || !c.asksPeers {
 		return errNoPeers
 	}
 	calledAt := time.Now()
--- a/state/follower/era_test.go
+++ b/state/follower/era_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
 	"github.com/banyanplank/banyanplank"
 )
@@ -77,3 +78,27 @@
 		})
 	}
 }
+
+// TestPolledTopicIsListedInNewEra guards against a list of entries that stays the one of before the
+// return of the store until the next poll, and against one that is taken from peers, which don't pass
+// it on.
+func TestPolledTopicIsListedInNewEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const interval = 20 * time.Second
+		discovery, messages := newFakeDiscovery(), &recorder{}
+		f := New(discovery, messages.send, WithPeers(&eraPeers{position: banyanplank.Position{Era: 1, Revision: 9}}))
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second+interval/4)
+		defer cancel()
+		var work conc.WaitGroup
+		work.Go(func() { f.Poll(ctx, banyanplank.TopicMembers, interval) })
+		discovery.addChange("a")
+		time.Sleep(time.Second)
+		discovery.returnOlder(1)
+		discovery.addChange("b")
+		f.RecordHint(banyanplank.TopicMembers, banyanplank.Position{Era: 1})
+		work.Wait()
+		is.Equal(messages.keys(), []string{"a", "b"})
+		is.Equal(discovery.counts(), []int{2, 0})
+	})
+}
--- a/state/follower/follower.go
+++ b/state/follower/follower.go
@@ -219,7 +219,8 @@
 }
 
 // Poll fetches the changes of a topic at every interval, without watching it, until
-// ctx ends. Use it for topics that may be known late.
+// ctx ends. Use it for topics that may be known late, and that peers don't pass on. A hint of a new
+// era has the topic listed within a quarter of the interval.
 func (f *Follower) Poll(ctx context.Context, topic banyanplank.Topic, interval time.Duration) {
 	c := cursor{Follower: f, topic: topic, hint: f.hintOf(topic), pollInterval: interval, isWatcher: func() bool { return false }}
 	c.run(ctx)
@@ -227,7 +228,7 @@
 
 // Follow follows a topic until ctx ends.
 func (f *Follower) Follow(ctx context.Context, topic banyanplank.Topic) {
-	c := cursor{Follower: f, topic: topic, hint: f.hintOf(topic), pollInterval: DefaultPollInterval, isWatcher: f.isWatcher, needsConfirmation: true}
+	c := cursor{Follower: f, topic: topic, hint: f.hintOf(topic), pollInterval: DefaultPollInterval, isWatcher: f.isWatcher, asksPeers: true, needsConfirmation: true}
 	c.confirm(time.Time{})
 	c.run(ctx)
 }
