Count an endpoint as departed only if that was seen

Cause: the time in which an endpoint may return ended while the store was away a second time. It counted as departed, and the next copy, which had its new registration, was not believed for 5.6 s.

Change: an endpoint that was missing from a copy, and that was not seen to be removed, counts as departed only if the platform answered until its time to return ended.

--- a/coordination/surveyor/outage.go
+++ b/coordination/surveyor/outage.go
@@ -12,6 +12,9 @@
 	// maxUpdateGap is the time between two updates from which on this process counts as
 	// paused. It gets a tick at each [TickInterval].
 	maxUpdateGap = 5 * TickInterval
+	// reachedMaxAge is the age of the latest answer of the platform up to which it counts as
+	// reached. Those that watch get one each second, and their heartbeats take 0.24 s at most.
+	reachedMaxAge = 1300 * time.Millisecond
 )
 
 // outage tells from an outage of the platform whether endpoints can have lapsed meanwhile. A
@@ -50,5 +53,8 @@
 // grant gives endpoints that are no longer listed time to return.
 func (o *outage) grant(now time.Time) { o.graceUntil = later(o.graceUntil, now.Add(reregisterGrace)) }
 
+// isReached reports whether the platform answered of late, as far as heartbeats can tell.
+func (o *outage) isReached(now time.Time) bool { return now.Sub(o.reachedAt) <= reachedMaxAge }
+
 // hasGrace reports whether an endpoint that is no longer listed may return.
 func (o *outage) hasGrace(now time.Time) bool { return now.Before(o.graceUntil) }
--- a/coordination/surveyor/surveyor.go
+++ b/coordination/surveyor/surveyor.go
@@ -143,6 +143,8 @@
 	backend banyanplank.Backend
 	// missingSince is when the endpoint was first missing from the list, or zero.
 	missingSince time.Time
+	// hasLeft is set if it was removed, and not only missing from an older copy of the store.
+	hasLeft bool
 }
 
 // membership is the state of another entry.
@@ -352,6 +354,9 @@
 		if !b.missingSince.IsZero() && !m.outage.hasGrace(now) {
 			delete(m.backends, id)
 			changed = true
+			if b.hasLeft || m.outage.isReached(now) {
+				m.recordDeparture(now, b.backend)
+			}
 			m.logEvent(Note{Event: "endpoint gone", Topic: banyanplank.TopicBackends, Key: string(id), Age: now.Sub(b.missingSince)})
 		}
 	}
--- a/coordination/surveyor/topics.go
+++ b/coordination/surveyor/topics.go
@@ -73,7 +73,7 @@
 	}
 	if m.outage.hasGrace(now) && !b.backend.Leaving {
 		if b.missingSince.IsZero() {
-			b.missingSince = now
+			b.missingSince, b.hasLeft = now, !m.topic(banyanplank.TopicBackends).returnedAt.Equal(now)
 			m.logEvent(Note{Event: "endpoint missing", Topic: banyanplank.TopicBackends, Key: string(id), Position: position})
 		}
 		return
