Change the soak's store at revisions that were given out before

Where the soak's store gave lost revisions out again before any entry reached it, it only repeated a change that the entries knew.

Now the change is made there for the first time. Missed configurations still don't show, as another one follows within seconds; TestChangesAreInForceAfterStoreReturnsOlder covers them.

--- a/soak/returns.go
+++ b/soak/returns.go
@@ -101,20 +101,20 @@
 
 // newReturn draws a fault that copies the store's state, has the store go away, and return from
 // the copy. The store loses a change that is made in between, until it is made again, and
-// unrelated changes that are not.
+// unrelated changes that are not. Or the change is made before any entry reaches the store again,
+// at a revision that was given out before, and unrelated ones follow until the store has passed
+// the last one that entries know.
 func (h *harness) newReturn(random *rand.Rand, kind string, change func()) (f *Fault) {
 	age, away := drawTime(random, minCopyAge, maxCopyAge), drawTime(random, minAwayTime, maxAwayTime)
 	changeAt, rewriteAfter := drawTime(random, 0, age), drawTime(random, 0, rewriteLimit)
 	unrelated := random.IntN(maxUnrelated)
-	// Changes are early if they get lost revisions again before any entry reaches the store, and
-	// the store then passes the last one that entries know.
-	early := random.IntN(3) == 0
+	reused := random.IntN(3) == 0
 	f = &Fault{
 		Kind: "store returns older", Until: age + away,
-		Target: fmt.Sprintf("copy %s old, away %s, loses %s and %d unrelated changes", age.Round(time.Millisecond), away.Round(time.Millisecond), kind, unrelated),
+		Target: fmt.Sprintf("copy %s old, away %s, loses %d unrelated changes and %s", age.Round(time.Millisecond), away.Round(time.Millisecond), unrelated, kind),
 	}
-	if early {
-		f.Target += ", gives their revisions out at once"
+	if reused {
+		f.Target = fmt.Sprintf("copy %s old, away %s, loses %d unrelated changes, then %s at their revisions", age.Round(time.Millisecond), away.Round(time.Millisecond), unrelated, kind)
 	}
 	putUnrelated := func(count int) {
 		for i := range count {
@@ -126,13 +126,16 @@
 		older := h.store.Snapshot()
 		wait(changeAt)
 		putUnrelated(unrelated)
-		change()
+		if !reused {
+			change()
+		}
 		wait(age - changeAt)
 		h.store.InjectFault(mimic.StoreAway, 1)
 		<-done
 		begin := time.Now()
 		h.store.Restore(older)
-		if early {
+		if reused {
+			change()
 			h.rewrite(begin)
 			putUnrelated(unrelated + maxUnrelated)
 			h.store.InjectFault(mimic.StoreHealthy, 0)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,6 +26,9 @@
 		"crashing request": 1,
 		// Servers request a pause, and the responses of one are lost on the link.
 		"pausing servers": 112,
+		// Guards against entries that miss changes for good once the store returns from an
+		// older copy, here a zone out of service at a revision that was given out before.
+		"returning store": 32,
 	}
 	program := filepath.Join(t.TempDir(), "banyanplank-entry")
 	output, err := exec.Command("go", "build", "-o", program, "../platform/banyanplank-entry").CombinedOutput()
