Have each unrelated change of the soak's store be one

A write that changes nothing no longer raises the stand-in store's revision. A second return of the store in a run then wrote unrelated objects that it already had, and gave out no revisions. Their values now differ.

--- a/soak/returns.go
+++ b/soak/returns.go
@@ -118,7 +118,7 @@
 	}
 	putUnrelated := func(count int) {
 		for i := range count {
-			h.store.Put("unrelated", strconv.Itoa(i), i)
+			h.store.Put("unrelated", strconv.Itoa(i), time.Now()) // An equal value is no change.
 		}
 	}
 	wait := func(d time.Duration) { _ = banyanplank.Sleep(context.Background(), d) }
