Run the fleets of tests on one processor

With the race detector, go test -race -short ./gateway crashed in 3 of 6 runs of the tests of returns (SIGSEGV in runtime.maybeRunChan, or a failed check of the detector), without a data race. The trace and the source of Go 1.26 show why: two goroutines of a bubble that poll timer channels in parallel share one context of the detector. More entries and more calls made it likely.

A fleet runs on one processor now.

--- a/gateway/testfleet_test.go
+++ b/gateway/testfleet_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"runtime"
 	"slices"
 	"sync"
 	"testing"
@@ -100,6 +101,9 @@
 
 // run runs all entries while play runs.
 func (f *testFleet) run(t *testing.T, play func()) {
+	// The race detector of Go 1.26 crashes when two goroutines of a bubble poll timers in parallel:
+	// these share one context of the detector.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	ctx, cancel := context.WithCancel(t.Context())
 	var group conc.WaitGroup
 	for _, d := range f.daemons {
