--- a/coordination/leaser/holder.go
+++ b/coordination/leaser/holder.go
@@ -80,7 +80,7 @@
 	released   bool
 	lastFrozen time.Duration
 	thawedAt   time.Time
-	// era is the latest era of the store that this entry was told of.
+	// era is the latest one passed to [Holder.SetEra].
 	era banyanplank.Era
 	// endCall ends the call that is being made.
 	endCall context.CancelFunc
@@ -174,7 +174,7 @@
 // it in either case. The default is true.
 func (h *Holder) SetCandidate(candidate bool) { h.leaser.SetCandidate(candidate) }
 
-// SetEra tells the holder that the store is in an era, as any response of the store may show. A
+// SetEra reports that the store is in an era, as any of its responses may show. A
 // term of an earlier era ends at once, with the call that is being made: the store may have lost
 // the lease, or one that another entry took since.
 func (h *Holder) SetEra(era banyanplank.Era) {
--- a/coordination/leaser/lease.go
+++ b/coordination/leaser/lease.go
@@ -11,7 +11,7 @@
 // earlier carries an old fencing number.
 //
 // After the store returned from an older copy, in a new era, the lease may be gone or that of an
-// earlier holder. Whoever learns of the era holds the lease no longer, and a candidate waits from
+// earlier holder. A holder gives up the lease when it detects the era, and a candidate waits from
 // its first read in that era, whatever the copy shows: by then any holder that it doesn't know of
 // has stopped. Fencing numbers have the era in their upper half, so that those of a new era are
 // higher than any before.
--- a/coordination/surveyor/held_test.go
+++ b/coordination/surveyor/held_test.go
@@ -134,7 +134,7 @@
 	}
 }
 
-// nothing stands for an empty list.
+// nothing represents an empty list.
 var nothing = banyanplank.DiscoveryItem{}
 
 // items returns its arguments.
--- a/coordination/surveyor/outage.go
+++ b/coordination/surveyor/outage.go
@@ -53,7 +53,7 @@
 // grant gives endpoints that are no longer listed time to return.
 func (o *outage) grant(now time.Time) { o.graceUntil = later(o.graceUntil, now.Add(reregisterGrace)) }
 
-// isReached reports whether the platform answered of late, as far as heartbeats can tell.
+// isReached reports whether the platform answered this entry or a peer of late.
 func (o *outage) isReached(now time.Time) bool { return now.Sub(o.reachedAt) <= reachedMaxAge }
 
 // hasGrace reports whether an endpoint that is no longer listed may return.
--- a/coordination/usagereporter/reporter.go
+++ b/coordination/usagereporter/reporter.go
@@ -60,7 +60,7 @@
 	// retryInterval is the time between two attempts for the same window.
 	retryInterval = 500 * time.Millisecond
 	// prepareTime is how long the holder of before prepares reports in a new era. Nobody holds the
-	// duty earlier than that, and others learn of the era up to 1.5 s later.
+	// duty earlier than that, and others detect the era up to 1.5 s later.
 	prepareTime = 5 * time.Second
 	// maxDeletions bounds the reports that one tick removes from the store.
 	maxDeletions = 2
@@ -136,11 +136,11 @@
 	// results holds the collections that have ended.
 	mutex   sync.Mutex
 	results []collection
-	// told is the latest era that [Reporter.SetEra] was called with, and toldToken the token
-	// that was held then, or zero. ListedToken is that of the last term whose stored reports
+	// latestEra is the latest one passed to [Reporter.SetEra], and tokenAtEra the token
+	// that was held then, or zero. listedToken is that of the last term whose stored reports
 	// were listed.
-	told        banyanplank.Era
-	toldToken   uint64
+	latestEra   banyanplank.Era
+	tokenAtEra  uint64
 	listedToken uint64
 
 	// token is that of the term for which listed and pending are valid.
@@ -264,18 +264,18 @@
 	return r
 }
 
-// SetEra tells the reporter that the store is in an era, as any response of the store may show. Call
-// it before the holder of the duty is told, which stops.
+// SetEra reports that the store is in an era, as any of its responses may show. Call it before
+// [leaser.Holder.SetEra], which ends the term.
 func (r *Reporter) SetEra(era banyanplank.Era) {
 	term, held := r.holder.Term()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if era <= r.told {
+	if era <= r.latestEra {
 		return
 	}
 	// A list that shows the era is not recorded yet.
-	if r.told = era; held && term.Token == r.listedToken {
-		r.toldToken = term.Token
+	if r.latestEra = era; held && term.Token == r.listedToken {
+		r.tokenAtEra = term.Token
 	}
 }
 
@@ -317,8 +317,8 @@
 // followEra begins a new era of the store: the bodies that are known are to be created again.
 func (r *Reporter) followEra(term banyanplank.Term) {
 	r.mutex.Lock()
-	era, token := max(r.told, eraOf(term)), r.toldToken
-	r.toldToken = 0
+	era, token := max(r.latestEra, eraOf(term)), r.tokenAtEra
+	r.tokenAtEra = 0
 	r.mutex.Unlock()
 	if era <= r.era {
 		return
--- a/coordination/usagereporter/reporter_test.go
+++ b/coordination/usagereporter/reporter_test.go
@@ -206,8 +206,8 @@
 			f.events = append(f.events, event)
 		}))
 	e.reporter = reporter
-	e.store.SetEraHandler(e.learn)
-	e.learn(f.era)
+	e.store.SetEraHandler(e.setEra)
+	e.setEra(f.era)
 	e.group.Go(func() { _ = e.holder.Run(ctx) })
 	e.group.Go(func() { _ = reporter.Run(ctx) })
 	f.entries[i] = e
@@ -239,8 +239,8 @@
 	}
 }
 
-// learn tells an entry the era of the store, as its responses do.
-func (e *entry) learn(era banyanplank.Era) {
+// setEra passes the era of the store to an entry, as its responses do.
+func (e *entry) setEra(era banyanplank.Era) {
 	if era > 0 {
 		e.reporter.SetEra(era)
 		e.holder.SetEra(era)
@@ -431,7 +431,7 @@
 			f.platform.set(banyanplank.ErrUnavailable, false)
 			time.Sleep(500 * time.Millisecond)
 		}, after: func(f *fleet) {
-			f.entries[0].learn(f.era)
+			f.entries[0].setEra(f.era)
 			f.platform.set(nil, true)
 			f.entries[0].holder.SetCandidate(false)
 		}},
@@ -632,10 +632,10 @@
 					e.store.SetReadLag(time.Duration(s.pause) * 50 * time.Millisecond)
 				case 11, 12:
 					f.restore(time.Duration(s.pause) * 100 * time.Millisecond)
-					e.learn(f.era)
+					e.setEra(f.era)
 					for _, other := range f.entries {
 						if s.event == 12 {
-							other.learn(f.era)
+							other.setEra(f.era)
 						}
 					}
 				}
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -160,10 +160,10 @@
 		failed   bool
 		isLoaded bool
 	}{
-		"calm":                         {beat: beater.Heartbeat{From: "b"}},
-		"too large to tell its demand": {beat: beater.Heartbeat{From: "b", IsUnderLoad: true}, isLoaded: true},
-		"malformed demand":             {beat: beater.Heartbeat{From: "b", Demand: []byte{0}, IsUnderLoad: true}, failed: true, isLoaded: true},
-		"malformed promises":           {beat: beater.Heartbeat{From: "b", Promised: []byte{0}, IsUnderLoad: true}, failed: true, isLoaded: true},
+		"calm":                     {beat: beater.Heartbeat{From: "b"}},
+		"too large for its demand": {beat: beater.Heartbeat{From: "b", IsUnderLoad: true}, isLoaded: true},
+		"malformed demand":         {beat: beater.Heartbeat{From: "b", Demand: []byte{0}, IsUnderLoad: true}, failed: true, isLoaded: true},
+		"malformed promises":       {beat: beater.Heartbeat{From: "b", Promised: []byte{0}, IsUnderLoad: true}, failed: true, isLoaded: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -145,7 +145,7 @@
 		return
 	}
 	d.duties.updateCandidates(snapshot)
-	// Entries of all zones that don't watch wait for word of a new era.
+	// Entries of all zones that don't watch wait until a peer reports a new era.
 	isNewEra := snapshot.IsWatcher && latestEra(snapshot.Positions) > latestEra(previous.Positions)
 	if previous.Ready && !snapshot.Ready || isNewEra {
 		d.announceUrgently()
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -192,7 +192,7 @@
 	}
 }
 
-// setEra tells the duties the era of the store.
+// setEra passes the era of the store to the duties.
 func (u *duties) setEra(era banyanplank.Era) {
 	if u == nil {
 		return
--- a/gateway/era.go
+++ b/gateway/era.go
@@ -7,7 +7,7 @@
 	"github.com/banyanplank/banyanplank"
 )
 
-// eraState is what an entry knows of the era of the store.
+// eraState holds the era of the store, and when it changed.
 type eraState struct {
 	latest atomic.Uint64
 	// changedAt is when the era last changed, in nanoseconds of the Unix time, or zero.
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -180,7 +180,7 @@
 }
 
 // knowsEras reports whether the sender of a heartbeat can name changes of the era of the store. One
-// of an older build names no eras, so that this entry knows of none of its changes.
+// of an older build names no eras, so that its positions seem older than those of this entry.
 func (d *Daemon) knowsEras(beat *beater.Heartbeat) (ok bool) {
 	if d.era.latest.Load() == 0 {
 		return true
--- a/gateway/returns_test.go
+++ b/gateway/returns_test.go
@@ -29,20 +29,20 @@
 	}
 	watching := surveyor.NewModel(banyanplank.Member{ID: "e1", Zone: "a", Incarnation: 1})
 	asking := surveyor.NewModel(banyanplank.Member{ID: "e2", Zone: "a", Incarnation: 1})
-	tell := func(model *surveyor.Model, era banyanplank.Era, revision banyanplank.Version, topic banyanplank.Topic, whole bool, entries ...banyanplank.DiscoveryItem) {
+	update := func(model *surveyor.Model, era banyanplank.Era, revision banyanplank.Version, topic banyanplank.Topic, whole bool, entries ...banyanplank.DiscoveryItem) {
 		model.Update(now, follower.TopicMsg{Topic: topic, Position: banyanplank.Position{Era: era, Revision: revision}, IsFullList: whole, Entries: entries, RequestedAt: now})
 	}
 	topics := []banyanplank.Topic{banyanplank.TopicRouting, banyanplank.TopicZonesOut, banyanplank.TopicBackends}
 	for _, model := range []*surveyor.Model{watching, asking} {
-		tell(model, 1, 100, topics[0], true, table(7))
-		tell(model, 1, 100, topics[1], true, out)
-		tell(model, 1, 100, topics[2], true, endpoint)
+		update(model, 1, 100, topics[0], true, table(7))
+		update(model, 1, 100, topics[1], true, out)
+		update(model, 1, 100, topics[2], true, endpoint)
 		// The endpoint lapses in the old era, by mistake.
-		tell(model, 1, 101, topics[2], false, banyanplank.DiscoveryItem{Key: "x"})
+		update(model, 1, 101, topics[2], false, banyanplank.DiscoveryItem{Key: "x"})
 	}
-	tell(watching, 2, 3, topics[0], true, table(6))
-	tell(watching, 2, 3, topics[1], true)
-	tell(watching, 2, 3, topics[2], true, endpoint)
+	update(watching, 2, 3, topics[0], true, table(6))
+	update(watching, 2, 3, topics[1], true)
+	update(watching, 2, 3, topics[2], true, endpoint)
 
 	server := httptest.NewServer(newRelay(watching.Snapshot).handler())
 	defer server.Close()
